--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -13,7 +13,6 @@
     using period = std::nano;
     using duration = std::chrono::duration<rep, period>;
     using time_point = std::chrono::time_point<MonotonicClock>;
-    static constexpr bool is_steady = true;
 };
 
 using Duration = MonotonicClock::duration;
--- a/src/config/Bundle.h
+++ b/src/config/Bundle.h
@@ -26,7 +26,7 @@
 };
 
 /// Largest part in bytes; the configuration service holds values up to a megabyte.
-inline constexpr std::size_t maximumPartSize = 900 * 1000;
+inline constexpr std::size_t maximumPartSize = std::size_t { 900 } * 1000;
 
 using PartLookup = std::function<std::optional<std::string>(const std::string& hash)>;
 
--- a/src/config/DeclarationParser.cpp
+++ b/src/config/DeclarationParser.cpp
@@ -264,8 +264,8 @@
             readTables(*node, kind, file, m_errors, handler);
     }
     for (const auto& [key, node] : document) {
-        const auto isKnown = std::any_of(
-            handlers.begin(), handlers.end(), [&](const auto& handler) { return handler.first == key.str(); });
+        const auto isKnown = std::any_of(handlers.begin(), handlers.end(),
+            [name = key.str()](const auto& handler) { return handler.first == name; });
         if (!isKnown) {
             m_errors.push_back(
                 { ErrorCode::UnknownKey, std::string(file) + ":" + std::to_string(node.source().begin.line),
--- a/src/daemon/ControlRouting.cpp
+++ b/src/daemon/ControlRouting.cpp
@@ -171,7 +171,7 @@
     }
 }
 
-void ControlThread::apply(std::vector<admission::Decision> decisions)
+void ControlThread::apply(const std::vector<admission::Decision>& decisions)
 {
     for (const auto& decision : decisions) {
         const auto found = m_active.find(decision.ticket);
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -76,7 +76,7 @@
     void updateCapacity();
 
     void apply(claims::ClaimsNode::Actions actions);
-    void apply(std::vector<admission::Decision> decisions);
+    void apply(const std::vector<admission::Decision>& decisions);
     void settle(const claims::Settle& settle);
     void admit(Active& active);
     void place(Active& active, std::span<const std::string> excluded);
--- a/src/peer/WebSocketTransport.cpp
+++ b/src/peer/WebSocketTransport.cpp
@@ -26,13 +26,13 @@
             initialise(m_server, context);
             initialise(m_client, context);
             m_server.set_reuse_addr(true);
-            m_server.set_open_handler([this](Handle handle) {
+            m_server.set_open_handler([this](const Handle& handle) {
                 const auto id = m_nextId++;
                 m_byHandle[handle] = id;
                 m_byId[id] = { handle, true };
                 m_events.opened(id, true);
             });
-            m_client.set_open_handler([this](Handle handle) { m_events.opened(m_byHandle.at(handle), false); });
+            m_client.set_open_handler([this](const Handle& handle) { m_events.opened(m_byHandle.at(handle), false); });
         }
 
         void listen(const std::string& ip, std::uint16_t port) override
@@ -116,13 +116,13 @@
             endpoint.init_asio(&context);
             endpoint.set_max_message_size(maximumFrame);
             endpoint.set_open_handshake_timeout(openTimeoutMilliseconds);
-            endpoint.set_message_handler([this](Handle handle, typename Endpoint::message_ptr message) {
+            endpoint.set_message_handler([this](const Handle& handle, typename Endpoint::message_ptr message) {
                 const auto found = m_byHandle.find(handle);
                 if (found != m_byHandle.end())
                     m_events.received(found->second, message->get_payload());
             });
-            endpoint.set_close_handler([this](Handle handle) { forget(handle); });
-            endpoint.set_fail_handler([this](Handle handle) { forget(handle); });
+            endpoint.set_close_handler([this](const Handle& handle) { forget(handle); });
+            endpoint.set_fail_handler([this](const Handle& handle) { forget(handle); });
         }
 
         template <typename Endpoint> static std::size_t pendingOf(const Endpoint& endpoint, const Handle& handle)
--- a/src/upstream/CurlClient.cpp
+++ b/src/upstream/CurlClient.cpp
@@ -162,8 +162,11 @@
     void configure(Transfer& transfer, const Call& call)
     {
         auto* easy = transfer.easy;
-        for (const auto& [name, value] : call.headers)
-            transfer.headers = curl_slist_append(transfer.headers, (name + ": " + value).c_str());
+        std::string line;
+        for (const auto& [name, value] : call.headers) {
+            line.assign(name).append(": ").append(value);
+            transfer.headers = curl_slist_append(transfer.headers, line.c_str());
+        }
         transfer.headers = curl_slist_append(transfer.headers, "Expect:");
         curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
