--- a/src/daemon/ControlRouting.cpp
+++ b/src/daemon/ControlRouting.cpp
@@ -204,9 +204,8 @@
         { { "ticket", request.ticket }, { "organisation", request.organisation },
             { "destination", request.destination }, { "chat", toHex(request.chat.chat) },
             { "considered", decision.considered }, { "chosen", fleet ? fleet->idOf(decision.runner) : std::string() },
-            { "reason", placement::toString(decision.reason) }, { "load", decision.load },
-            { "bound", decision.bound } });
-    m_metrics.countPlacement(request.destination, std::string(placement::toString(decision.reason)));
+            { "reason", placement::nameOf(decision.reason) }, { "load", decision.load }, { "bound", decision.bound } });
+    m_metrics.countPlacement(request.destination, std::string(placement::nameOf(decision.reason)));
     if (decision.runner == placement::noRunner) {
         const bool isRetry = !excluded.empty();
         refuse(request.ticket,
@@ -234,7 +233,7 @@
     m_active.erase(found);
     logInfo("refusal",
         { { "ticket", ticket }, { "organisation", active.request.organisation },
-            { "code", gateway::toString(problem.code) } });
+            { "code", gateway::nameOf(problem.code) } });
     auto answered = problem;
     // Without the claim nobody here knows whether an earlier request with this key ran.
     if (active.request.key && active.stage == Stage::Claiming)
--- a/src/daemon/ControlStatus.cpp
+++ b/src/daemon/ControlStatus.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    std::string_view toString(membership::HostState state)
+    std::string_view nameOf(membership::HostState state)
     {
         switch (state) {
         case membership::HostState::Live:
@@ -19,7 +19,7 @@
         return "unknown";
     }
 
-    std::string_view toString(membership::HostRole role)
+    std::string_view nameOf(membership::HostRole role)
     {
         switch (role) {
         case membership::HostRole::Entry:
@@ -53,7 +53,7 @@
     m_metrics.setGauge("eelgrassford_quarantined_requests", static_cast<double>(m_quarantine.size()));
     std::map<std::pair<std::string, std::string>, double> hosts;
     for (const auto& [id, member] : m_view.members())
-        hosts[{ std::string(toString(member.host.role)), std::string(toString(member.state)) }] += 1.0;
+        hosts[{ std::string(nameOf(member.host.role)), std::string(nameOf(member.state)) }] += 1.0;
     for (const auto role : { "entry", "model-runner", "application-runner" }) {
         for (const auto state : { "live", "suspect", "leaving" })
             m_metrics.setGauge("eelgrassford_hosts", hosts[{ role, state }], { { "role", role }, { "state", state } });
@@ -99,8 +99,8 @@
         { "peers", m_mesh.connected() },
     };
     for (const auto& [id, member] : m_view.members()) {
-        status["hosts"].push_back({ { "id", id }, { "role", toString(member.host.role) },
-            { "data_centre", member.host.dataCentre }, { "state", toString(member.state) } });
+        status["hosts"].push_back({ { "id", id }, { "role", nameOf(member.host.role) },
+            { "data_centre", member.host.dataCentre }, { "state", nameOf(member.state) } });
     }
     for (auto& [name, fleet] : m_fleets) {
         nlohmann::json runners = nlohmann::json::array();
--- a/src/daemon/RequestSession.cpp
+++ b/src/daemon/RequestSession.cpp
@@ -306,8 +306,8 @@
     telemetry::logInfo("request",
         { { "ticket", m_request.route.ticket }, { "organisation", m_request.route.organisation },
             { "destination", m_request.route.destination }, { "attempts", m_lifecycle.attempts() },
-            { "status", static_cast<int>(problem.status) }, { "code", gateway::toString(problem.code) },
-            { "outcome", gateway::toString(problem.outcome) } });
+            { "status", static_cast<int>(problem.status) }, { "code", gateway::nameOf(problem.code) },
+            { "outcome", gateway::nameOf(problem.outcome) } });
     if (m_hasBegun) {
         m_responder->abort();
     } else {
--- a/src/gateway/Problem.cpp
+++ b/src/gateway/Problem.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-std::string_view toString(ProblemCode code)
+std::string_view nameOf(ProblemCode code)
 {
     switch (code) {
     case ProblemCode::MalformedRequest:
@@ -87,22 +87,22 @@
     return "unspecified";
 }
 
-std::string_view toString(ProblemOutcome outcome) { return outcome == ProblemOutcome::NotRun ? "not-run" : "unknown"; }
+std::string_view nameOf(ProblemOutcome outcome) { return outcome == ProblemOutcome::NotRun ? "not-run" : "unknown"; }
 
 HttpResponse toResponse(const Problem& problem)
 {
     const nlohmann::json body {
-        { "type", "urn:eelgrassford:problem:" + std::string(toString(problem.code)) },
+        { "type", "urn:eelgrassford:problem:" + std::string(nameOf(problem.code)) },
         { "title", reasonPhrase(problem.status) },
         { "status", problem.status },
         { "code", static_cast<int>(problem.code) },
         { "detail", problem.detail },
-        { "outcome", toString(problem.outcome) },
+        { "outcome", nameOf(problem.outcome) },
     };
     HttpResponse response;
     response.status = problem.status;
     response.headers = { { "Content-Type", "application/problem+json" },
-        { "Eelgrassford-Outcome", std::string(toString(problem.outcome)) } };
+        { "Eelgrassford-Outcome", std::string(nameOf(problem.outcome)) } };
     if (problem.retryAfter) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter).count();
         response.headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
--- a/src/gateway/Problem.h
+++ b/src/gateway/Problem.h
@@ -42,8 +42,8 @@
 };
 
 std::string_view reasonPhrase(std::uint16_t status);
-std::string_view toString(ProblemCode code);
-std::string_view toString(ProblemOutcome outcome);
+std::string_view nameOf(ProblemCode code);
+std::string_view nameOf(ProblemOutcome outcome);
 
 /// @brief The problem as `application/problem+json`.
 HttpResponse toResponse(const Problem& problem);
--- a/src/membership/Neighbours.cpp
+++ b/src/membership/Neighbours.cpp
@@ -12,39 +12,58 @@
     constexpr std::size_t linksToOtherRegions = 3;
     constexpr std::size_t readersPerDataCentre = 2;
 
-    std::vector<const Host*> entryHosts(const HostList& list)
+    /// An entry host and the hash of its name.
+    struct Entry {
+        const Host* host;
+        std::uint64_t hash;
+    };
+
+    std::vector<Entry> entryHosts(const HostList& list)
     {
-        std::vector<const Host*> hosts;
+        std::vector<Entry> entries;
         for (const auto& host : list.hosts) {
             if (host.role == HostRole::Entry)
-                hosts.push_back(&host);
+                entries.push_back({ &host, hash64(host.id) });
         }
-        return hosts;
+        return entries;
+    }
+
+    const Entry* findEntry(const std::vector<Entry>& entries, const HostId& id)
+    {
+        const auto found
+            = std::find_if(entries.begin(), entries.end(), [&](const Entry& entry) { return entry.host->id == id; });
+        return found == entries.end() ? nullptr : &*found;
     }
 
-    const Host* findHost(const std::vector<const Host*>& hosts, const HostId& id)
+    bool isSameDataCentre(const Host& left, const Host& right)
     {
-        const auto found = std::find_if(hosts.begin(), hosts.end(), [&](const Host* host) { return host->id == id; });
-        return found == hosts.end() ? nullptr : *found;
+        return left.region == right.region && left.dataCentre == right.dataCentre;
     }
 
-    /// The hosts that one host picks outside its data centre.
-    std::set<HostId> pickLinks(const std::vector<const Host*>& hosts, const Host& from)
+    /// The entries that one host picks outside its data centre: the few with the smallest mixed hashes.
+    std::vector<const Entry*> pickLinks(const std::vector<Entry>& entries, const Entry& from)
     {
-        const auto seed = hash64(from.id);
-        std::vector<const Host*> ranked = hosts;
-        std::sort(ranked.begin(), ranked.end(), [&](const Host* left, const Host* right) {
-            return mix64(seed, hash64(left->id)) < mix64(seed, hash64(right->id));
-        });
-        std::set<HostId> links;
-        std::size_t inRegion = 0;
-        std::size_t elsewhere = 0;
-        for (const auto* host : ranked) {
-            if (host->region == from.region && host->dataCentre == from.dataCentre)
+        using Scored = std::pair<std::uint64_t, const Entry*>;
+        std::vector<Scored> inRegion;
+        std::vector<Scored> elsewhere;
+        auto offer = [](std::vector<Scored>& best, std::size_t limit, const Scored& candidate) {
+            best.insert(std::upper_bound(best.begin(), best.end(), candidate), candidate);
+            if (best.size() > limit)
+                best.pop_back();
+        };
+        for (const auto& entry : entries) {
+            if (isSameDataCentre(*entry.host, *from.host))
                 continue;
-            auto& count = host->region == from.region ? inRegion : elsewhere;
-            if (count++ < (host->region == from.region ? linksInRegion : linksToOtherRegions))
-                links.insert(host->id);
+            const Scored candidate { mix64(from.hash, entry.hash), &entry };
+            if (entry.host->region == from.host->region)
+                offer(inRegion, linksInRegion, candidate);
+            else
+                offer(elsewhere, linksToOtherRegions, candidate);
+        }
+        std::vector<const Entry*> links;
+        for (const auto* best : { &inRegion, &elsewhere }) {
+            for (const auto& [score, entry] : *best)
+                links.push_back(entry);
         }
         return links;
     }
@@ -53,31 +72,35 @@
 
 std::set<HostId> chooseNeighbours(const HostList& list, const HostId& self)
 {
-    const auto hosts = entryHosts(list);
+    const auto entries = entryHosts(list);
+    const auto* own = findEntry(entries, self);
     std::set<HostId> neighbours;
-    const auto* own = findHost(hosts, self);
-    for (const auto* host : hosts) {
-        const bool isNear = own && host->region == own->region && host->dataCentre == own->dataCentre;
-        const bool isLinked
-            = hosts.size() <= fullFleetSize || isNear || (own && pickLinks(hosts, *host).contains(self));
-        if (isLinked)
-            neighbours.insert(host->id);
+    for (const auto& entry : entries) {
+        if (entries.size() <= fullFleetSize || (own && isSameDataCentre(*entry.host, *own->host)))
+            neighbours.insert(entry.host->id);
+    }
+    if (own && entries.size() > fullFleetSize) {
+        for (const auto* link : pickLinks(entries, *own))
+            neighbours.insert(link->host->id);
+        for (const auto& entry : entries) {
+            const auto links = pickLinks(entries, entry);
+            if (std::find(links.begin(), links.end(), own) != links.end())
+                neighbours.insert(entry.host->id);
+        }
     }
-    if (own && hosts.size() > fullFleetSize)
-        neighbours.merge(pickLinks(hosts, *own));
     neighbours.erase(self);
     return neighbours;
 }
 
 bool isConfigurationReader(const HostList& list, const HostId& self)
 {
-    const auto hosts = entryHosts(list);
-    const auto* own = findHost(hosts, self);
+    const auto entries = entryHosts(list);
+    const auto* own = findEntry(entries, self);
     if (!own)
         return true;
-    const auto earlier = std::count_if(hosts.begin(), hosts.end(), [&](const Host* host) {
-        return host->dataCentre == own->dataCentre && host->state == ListedState::Live
-            && hash64(host->id) < hash64(self);
+    const auto earlier = std::count_if(entries.begin(), entries.end(), [&](const Entry& entry) {
+        return isSameDataCentre(*entry.host, *own->host) && entry.host->state == ListedState::Live
+            && entry.hash < own->hash;
     });
     return static_cast<std::size_t>(earlier) < readersPerDataCentre;
 }
--- a/src/peer/Mesh.cpp
+++ b/src/peer/Mesh.cpp
@@ -64,12 +64,7 @@
 
 void Mesh::closed(ConnectionId connection, TimePoint now)
 {
-    if (const auto found = m_connections.find(connection); found != m_connections.end()) {
-        const auto byHost = m_byHost.find(found->second.host);
-        if (byHost != m_byHost.end() && byHost->second == connection)
-            m_byHost.erase(byHost);
-        m_connections.erase(found);
-    }
+    forget(connection);
     for (auto& [id, peer] : m_peers) {
         if (peer.connecting != connection)
             continue;
@@ -150,7 +145,19 @@
 void Mesh::reject(ConnectionId connection)
 {
     ++m_rejectedFrames;
+    forget(connection);
     m_transport->close(connection);
 }
 
+void Mesh::forget(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return;
+    const auto byHost = m_byHost.find(found->second.host);
+    if (byHost != m_byHost.end() && byHost->second == connection)
+        m_byHost.erase(byHost);
+    m_connections.erase(found);
+}
+
 }
--- a/src/peer/Mesh.h
+++ b/src/peer/Mesh.h
@@ -80,6 +80,7 @@
 
     void sendPayload(const HostId& to, std::size_t kind, const std::string& payload);
     void reject(ConnectionId connection);
+    void forget(ConnectionId connection);
 
     Options m_options;
     NonceSource m_nonces;
--- a/src/placement/BoundedLoadStrategy.cpp
+++ b/src/placement/BoundedLoadStrategy.cpp
@@ -28,8 +28,7 @@
         return decision;
     decision.considered = 1;
     decision.load = fleet.loads.load(warm);
-    const double warmWork = request.work() / fleet.loads.weight(warm);
-    if (decision.load + warmWork <= decision.bound) {
+    if (fits(request.work(), warm, decision.load, fleet, decision.bound)) {
         decision.runner = warm;
         decision.reason = isRemembered ? Reason::Remembered : Reason::Home;
     } else if (!isRemembered || !takePrevious(request, exception->previous, fleet, decision)) {
@@ -47,7 +46,7 @@
         return false;
     ++decision.considered;
     const double load = fleet.loads.load(previous);
-    if (load + request.work() / fleet.loads.weight(previous) > decision.bound)
+    if (!fits(request.work(), previous, load, fleet, decision.bound))
         return false;
     decision.runner = previous;
     decision.reason = Reason::Returned;
@@ -71,11 +70,17 @@
     }
     const double work = workOf(request.promptTokens, request.expectedOutputTokens);
     const bool isBounded
-        = decision.runner != noRunner && decision.load + work / fleet.loads.weight(decision.runner) <= decision.bound;
+        = decision.runner != noRunner && fits(work, decision.runner, decision.load, fleet, decision.bound);
     const auto reason = request.reusableTokens > 0 ? Reason::Spilled : Reason::New;
     decision.reason = decision.runner == noRunner ? Reason::None : isBounded ? reason : Reason::LeastLoaded;
 }
 
+bool BoundedLoadStrategy::fits(double work, RunnerIndex runner, double load, const Fleet& fleet, double bound)
+{
+    // An idle runner takes any request: the mean of a nearly idle fleet bounds nothing.
+    return load <= 0.0 || load + work / fleet.loads.weight(runner) <= bound;
+}
+
 bool BoundedLoadStrategy::isEligible(RunnerIndex runner, const Fleet& fleet)
 {
     return runner < fleet.eligible.size() && fleet.eligible[runner] != 0;
--- a/src/placement/NaiveStrategies.cpp
+++ b/src/placement/NaiveStrategies.cpp
@@ -132,7 +132,7 @@
 
 }
 
-std::string_view toString(Reason reason)
+std::string_view nameOf(Reason reason)
 {
     switch (reason) {
     case Reason::Home:
--- a/src/placement/Strategy.h
+++ b/src/placement/Strategy.h
@@ -41,7 +41,7 @@
     None,
 };
 
-std::string_view toString(Reason reason);
+std::string_view nameOf(Reason reason);
 
 /// @brief Whether the chosen runner probably holds the chat's prefix.
 constexpr bool isWarm(Reason reason)
