Stop at the end of a drain; close aborted streams; ask one peer at a time

Cause, each found by the new test of a real fleet (tests/e2e/fleet.test.sh): - a daemon never ended after its drain: its signal loop had run out of work between two timers; - aborting a begun stream threw, since RESTinio takes the connection out of the request when a response is made; the stand-in engine died of it and the retry elsewhere hid that. The daemon would have died too; - each peer with something newer was asked, all at once.

--- a/src/claims/ClaimsNode.cpp
+++ b/src/claims/ClaimsNode.cpp
@@ -134,17 +134,30 @@
 {
     for (auto& [group, member] : m_witnesses)
         member.tick(now, m_outgoing);
-    for (auto& [key, record] : m_records)
+    const auto unsettled = m_unsettled;
+    for (const auto& key : unsettled) {
+        auto& record = m_records.at(key);
         advance(key, record, now);
+        if (record.phase != Phase::Claiming && record.phase != Phase::Joining)
+            m_unsettled.erase(key);
+    }
     drainLoopback(now);
+    dropExpired(now);
+    return take();
+}
+
+void ClaimsNode::dropExpired(TimePoint now)
+{
+    if (now < m_nextExpiryAt)
+        return;
+    m_nextExpiryAt = now + std::chrono::seconds(1);
     // Kept for longer than any witness keeps the grant, so that an absent record never stands for a run.
     const auto keep = m_options.timing.retention + 2 * m_options.timing.dispatchLimit;
     std::erase_if(m_records, [&](const auto& item) {
         const auto phase = item.second.phase;
         const bool isSettled = phase == Phase::Answered || phase == Phase::Unknown || phase == Phase::Abandoned;
-        return isSettled && now - item.second.createdAt >= keep;
+        return isSettled && now - item.second.createdAt >= keep && !m_unsettled.contains(item.first);
     });
-    return take();
 }
 
 ClaimsNode::Actions ClaimsNode::handOver(TimePoint)
@@ -184,6 +197,7 @@
 void ClaimsNode::startClaim(const Key& key, Record& record, TimePoint now)
 {
     record.phase = Phase::Claiming;
+    m_unsettled.insert(key);
     record.claim = { m_options.self, m_options.incarnation, m_nextSequence++ };
     record.claimant.emplace(key, record.claim, m_views[groupOf(key)], m_options.timing, m_options.groups > 1, now);
     advance(key, record, now);
@@ -240,6 +254,7 @@
     if (record.phase == Phase::Claiming)
         record.claimant->release(m_outgoing);
     record.phase = Phase::Joining;
+    m_unsettled.insert(key);
     record.joined = holder;
     record.lastSignAt = now;
     record.nextJoinAt = now;
--- a/src/claims/ClaimsNode.h
+++ b/src/claims/ClaimsNode.h
@@ -110,6 +110,7 @@
     void notifyJoiners(const Key& key, Record& record, JoinState state);
     void shareAnswer(const Key& key, Record& record);
     void send(const HostId& to, Message message);
+    void dropExpired(TimePoint now);
     void drainLoopback(TimePoint now);
     void deliver(const HostId& from, const Message& message, TimePoint now);
     Actions take();
@@ -131,6 +132,9 @@
     std::map<std::uint32_t, Witness> m_witnesses;
     std::map<std::uint32_t, WitnessView> m_views;
     std::map<Key, Record> m_records;
+    /// Keys whose record is being claimed or joined; only these need attention as time passes.
+    std::set<Key> m_unsettled;
+    TimePoint m_nextExpiryAt {};
     std::deque<Message> m_loopback;
     std::vector<Action> m_actions;
     std::vector<Envelope> m_outgoing;
--- a/src/config/Bundle.cpp
+++ b/src/config/Bundle.cpp
@@ -41,7 +41,7 @@
     /// A part may end after this line; depends on the line alone, so that a change moves few boundaries.
     bool isBoundary(std::string_view line)
     {
-        constexpr std::uint64_t meanLinesPerPart = 256;
+        constexpr std::uint64_t meanLinesPerPart = 32;
         return hash64(line) % meanLinesPerPart == 0;
     }
 
--- a/src/daemon/ControlRouting.cpp
+++ b/src/daemon/ControlRouting.cpp
@@ -17,6 +17,12 @@
     constexpr auto shortRetry = std::chrono::seconds(1);
     constexpr Duration reportTimeout = std::chrono::milliseconds(1000);
 
+    Problem quarantineProblem(Duration remaining)
+    {
+        return { 422, ProblemCode::Quarantined, "this request crashed the upstreams that ran it", ProblemOutcome::NotRun,
+            std::chrono::ceil<std::chrono::milliseconds>(remaining) };
+    }
+
     Problem toProblem(const admission::Decision& decision)
     {
         const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
@@ -51,9 +57,7 @@
         }
         if (const auto remaining = m_quarantine.remaining(active.request.fingerprint, now);
             remaining > Duration::zero()) {
-            refuse(ticket,
-                { 422, ProblemCode::Quarantined, "this request crashed the upstreams that ran it",
-                    ProblemOutcome::NotRun, std::chrono::ceil<std::chrono::milliseconds>(remaining) });
+            refuse(ticket, quarantineProblem(remaining));
             return;
         }
         if (active.request.key)
@@ -71,10 +75,27 @@
             return;
         releaseWork(found->second);
         found->second.callback = std::move(callback);
-        place(found->second, excluded);
+        // A request that may have killed its upstream waits until that is known, so that it cannot kill many.
+        const auto check = excluded.empty() ? m_deathChecks.end() : m_deathChecks.find(excluded.back());
+        if (check != m_deathChecks.end())
+            check->second.waiting.emplace_back(ticket, std::move(excluded));
+        else
+            placeAgain(ticket, excluded);
     });
 }
 
+void ControlThread::placeAgain(Ticket ticket, std::span<const std::string> excluded)
+{
+    const auto found = m_active.find(ticket);
+    if (found == m_active.end())
+        return;
+    const auto remaining = m_quarantine.remaining(found->second.request.fingerprint, currentTime());
+    if (remaining > Duration::zero())
+        refuse(ticket, quarantineProblem(remaining));
+    else
+        place(found->second, excluded);
+}
+
 void ControlThread::attemptEnded(Ticket ticket, std::string upstream, AttemptEnd end)
 {
     asio::post(m_context, [this, ticket, upstream = std::move(upstream), end] {
@@ -85,12 +106,12 @@
             m_view.reportFailure(upstream, now);
         if (end == AttemptEnd::Broken && !m_deathChecks.contains(upstream)) {
             DeathCheck check;
-            check.instance = m_instances[upstream];
             for (const auto& [id, active] : m_active) {
                 if (active.upstream == upstream)
                     check.running.push_back(active.request.fingerprint);
             }
             m_deathChecks.emplace(upstream, std::move(check));
+            pollReport(upstream);
         }
         if (const auto found = m_active.find(ticket); found != m_active.end())
             releaseWork(found->second);
@@ -260,22 +281,28 @@
     return found == m_fleets.end() ? nullptr : &found->second;
 }
 
-void ControlThread::pollReports(TimePoint)
+void ControlThread::pollReports()
 {
     for (const auto& [id, member] : m_view.members()) {
-        if (member.host.role == membership::HostRole::Entry || m_reportsUnderWay.contains(id))
-            continue;
-        m_reportsUnderWay.insert(id);
-        upstream::Call call;
-        call.url = "http://" + member.host.address + "/v1/load";
-        call.timeout = reportTimeout;
-        m_client.fetch(call, [this, upstream = id](const auto& result, std::uint16_t status, const std::string& body) {
-            m_reportsUnderWay.erase(upstream);
-            onReport(upstream, result, status, body);
-        });
+        if (member.host.role != membership::HostRole::Entry)
+            pollReport(id);
     }
 }
 
+void ControlThread::pollReport(const std::string& upstream)
+{
+    const auto* member = m_view.find(upstream);
+    if (!member || !m_reportsUnderWay.insert(upstream).second)
+        return;
+    upstream::Call call;
+    call.url = "http://" + member->host.address + "/v1/load";
+    call.timeout = reportTimeout;
+    m_client.fetch(call, [this, upstream](const auto& result, std::uint16_t status, const std::string& body) {
+        m_reportsUnderWay.erase(upstream);
+        onReport(upstream, result, status, body);
+    });
+}
+
 void ControlThread::onReport(
     const std::string& upstream, const upstream::CallResult& result, std::uint16_t status, const std::string& body)
 {
@@ -286,8 +313,9 @@
         && json["age_ms"].is_number_unsigned();
     if (!isUsable) {
         m_view.reportFailure(upstream, now);
-        if (result.end == upstream::CallEnd::NeverConnected)
-            checkDeath(upstream, "", false);
+        // A connection that broke under the report says nothing yet; the next report does.
+        if (result.end != upstream::CallEnd::Broken)
+            settleDeathCheck(upstream, result.end == upstream::CallEnd::NeverConnected);
         return;
     }
     m_view.reportSuccess(upstream, now);
@@ -297,9 +325,9 @@
         ? json["waiting_prompt_tokens"].get<double>()
         : 0.0;
     const auto work = placement::workOf(waiting, placement::expectedOutputTokens * json["running"].get<double>());
-    checkDeath(upstream, instance, true);
     const bool isRestarted = !m_instances[upstream].empty() && m_instances[upstream] != instance;
     m_instances[upstream] = instance;
+    settleDeathCheck(upstream, isRestarted);
     for (auto& [name, fleet] : m_fleets) {
         if (isRestarted)
             fleet.forgetCache(upstream);
@@ -307,22 +335,22 @@
     }
 }
 
-void ControlThread::checkDeath(const std::string& upstream, const std::string& instance, bool isReachable)
+void ControlThread::settleDeathCheck(const std::string& upstream, bool isDead)
 {
     const auto found = m_deathChecks.find(upstream);
     if (found == m_deathChecks.end())
         return;
     const auto check = std::move(found->second);
     m_deathChecks.erase(found);
-    if (isReachable && instance == check.instance)
-        return;
-    const auto now = currentTime();
-    logWarning("upstream-death",
-        { { "upstream", upstream }, { "requests", static_cast<std::uint64_t>(check.running.size()) } });
-    for (const auto digest : m_quarantine.recordDeath(check.running, now)) {
-        logWarning("quarantine", { { "request", toHex(digest) }, { "upstream", upstream } });
-        m_mesh.broadcast(peer::QuarantineNotice { digest });
+    if (isDead) {
+        logWarning("upstream-death", { { "upstream", upstream }, { "requests", static_cast<std::uint64_t>(check.running.size()) } });
+        for (const auto digest : m_quarantine.recordDeath(check.running, currentTime())) {
+            logWarning("quarantine", { { "request", toHex(digest) }, { "upstream", upstream } });
+            m_mesh.broadcast(peer::QuarantineNotice { digest });
+        }
     }
+    for (const auto& [ticket, excluded] : check.waiting)
+        placeAgain(ticket, excluded);
 }
 
 }
--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -16,6 +16,8 @@
 
     constexpr auto tickInterval = std::chrono::milliseconds(10);
     constexpr Duration heartbeatInterval = std::chrono::seconds(1);
+    /// Time that one peer is given to answer before another is asked.
+    constexpr Duration requestInterval = std::chrono::milliseconds(500);
     constexpr Duration digestInterval = std::chrono::milliseconds(200);
     constexpr Duration metricsInterval = std::chrono::seconds(1);
     constexpr Duration refreshInterval = std::chrono::seconds(1);
@@ -181,7 +183,7 @@
     }
     if (now >= m_nextReportAt) {
         m_nextReportAt = now + m_settings.reportInterval;
-        pollReports(now);
+        pollReports();
     }
     updateReadiness(now);
     if (now >= m_nextMetricsAt) {
@@ -207,14 +209,18 @@
             else
                 logError("configuration-conflict", { { "revision", m_store.revision() }, { "peer", from } });
         }
-        if (heartbeat->configurationRevision > m_store.revision()) {
+        // One peer is asked at a time, not every one that has something newer.
+        if (heartbeat->configurationRevision > m_store.revision() && now >= m_nextConfigurationRequestAt) {
+            m_nextConfigurationRequestAt = now + requestInterval;
             peer::ConfigurationRequest request;
             for (const auto& [hash, text] : m_platform.parts())
                 request.heldParts.push_back(hash);
             m_mesh.send(from, request);
         }
-        if (heartbeat->hostListRevision > m_view.revision())
+        if (heartbeat->hostListRevision > m_view.revision() && now >= m_nextHostListRequestAt) {
+            m_nextHostListRequestAt = now + requestInterval;
             m_mesh.send(from, peer::HostListRequest {});
+        }
     } else if (const auto* request = std::get_if<peer::ConfigurationRequest>(&message)) {
         peer::ConfigurationReply reply { m_store.manifest(), {} };
         for (const auto& hash : reply.manifest.parts) {
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -62,7 +62,8 @@
     };
     struct DeathCheck {
         std::vector<dispatch::RequestDigest> running;
-        std::string instance;
+        /// Requests that wait for the result, with the upstreams that failed them.
+        std::vector<std::pair<Ticket, std::vector<std::string>>> waiting;
     };
 
     void scheduleTick();
@@ -80,14 +81,16 @@
     void settle(const claims::Settle& settle);
     void admit(Active& active);
     void place(Active& active, std::span<const std::string> excluded);
+    void placeAgain(Ticket ticket, std::span<const std::string> excluded);
     void refuse(Ticket ticket, const gateway::Problem& problem);
     void releaseWork(Active& active);
     placement::ModelFleet* fleetOf(const RouteRequest& request);
 
-    void pollReports(TimePoint now);
+    void pollReports();
+    void pollReport(const std::string& upstream);
     void onReport(
         const std::string& upstream, const upstream::CallResult& result, std::uint16_t status, const std::string& body);
-    void checkDeath(const std::string& upstream, const std::string& instance, bool isReachable);
+    void settleDeathCheck(const std::string& upstream, bool isDead);
 
     void broadcast(const peer::Message& message);
     void shareDigests();
@@ -132,6 +135,8 @@
     bool m_isStopping = false;
     TimePoint m_stopBy {};
     std::function<void()> m_drained;
+    TimePoint m_nextConfigurationRequestAt {};
+    TimePoint m_nextHostListRequestAt {};
     TimePoint m_nextHeartbeatAt {};
     TimePoint m_nextDigestAt {};
     TimePoint m_nextReportAt {};
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,6 +21,7 @@
     explicit Daemon(const Settings& settings)
         : m_settings(settings)
         , m_control(settings, m_metrics)
+        , m_work(m_signalContext.get_executor())
         , m_signals(m_signalContext, SIGTERM, SIGINT)
         , m_drainTimer(m_signalContext)
     {
@@ -69,6 +70,7 @@
                 traffic->stop();
             m_control.stop();
             telemetry::logInfo("stop", {});
+            m_work.reset();
         });
     }
 
@@ -77,6 +79,7 @@
     ControlThread m_control;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     asio::io_context m_signalContext;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::signal_set m_signals;
     asio::steady_timer m_drainTimer;
 };
--- a/src/gateway/HttpServer.cpp
+++ b/src/gateway/HttpServer.cpp
@@ -52,6 +52,7 @@
     public:
         RestinioResponder(restinio::request_handle_t request, const bool& isClosing)
             : m_request(std::move(request))
+            , m_connection(restinio::impl::access_req_connection(*m_request))
             , m_isClosing(isClosing)
         {
         }
@@ -91,11 +92,11 @@
         {
             m_isGone = true;
             m_chunked.reset();
-            if (!m_request)
+            const auto connection = std::exchange(m_connection, nullptr);
+            if (!connection)
                 return;
             // RESTinio offers no call that closes a connection; an upgrade hands its socket over.
             using Connection = restinio::impl::connection_t<Traits>;
-            const auto connection = restinio::impl::access_req_connection(*std::exchange(m_request, nullptr));
             auto socket = dynamic_cast<Connection&>(*connection).move_upgrade_internals().m_socket;
             restinio::asio_ns::error_code ignored;
             socket.close(ignored);
@@ -125,6 +126,8 @@
         }
 
         restinio::request_handle_t m_request;
+        /// Kept for abort(): making a response takes the connection out of the request.
+        restinio::impl::connection_handle_t m_connection;
         const bool& m_isClosing;
         std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_chunked;
         std::function<void()> m_goneHandler;
