--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -40,9 +40,12 @@
     using namespace claims;
     constexpr std::size_t frameOverhead = 8 + 4;
     const ClaimId id { "entry-123", 1764800000000000000, 123456 };
-    const WitnessView view { 123456, { "entry-001", "entry-102", "entry-203", "entry-304", "entry-405", "entry-506", "entry-607" } };
+    const WitnessView view { 123456,
+        { "entry-001", "entry-102", "entry-203", "entry-304", "entry-405", "entry-506", "entry-607" } };
     const Key key { 0x123456789abcdef0, 0xfedcba9876543210 };
-    auto size = [&](const peer::Message& message) { return static_cast<double>(peer::encode(message).size() + frameOverhead); };
+    auto size = [&](const peer::Message& message) {
+        return static_cast<double>(peer::encode(message).size() + frameOverhead);
+    };
     print("claim-request", 1, size(ClaimRequest { key, id, view.stamp() }), "B");
     print("claim-reply", 1, size(ClaimReply { key, id, Verdict::Granted, {}, view.stamp() }), "B");
     print("heartbeat", 1, size(peer::Heartbeat { 12345, std::string(64, 'a'), 123456, true }), "B");
@@ -52,7 +55,8 @@
         peer::PlacementDigest exceptions { "model-1", {}, {} };
         for (std::size_t i = 0; i < count; ++i) {
             digest.loads.push_back({ "runner-" + std::to_string(1000 + i), 256.0 });
-            exceptions.exceptions.push_back({ 0xfedcba9876543210 + i, "runner-" + std::to_string(1000 + i), 3000, "runner-1234" });
+            exceptions.exceptions.push_back(
+                { 0xfedcba9876543210 + i, "runner-" + std::to_string(1000 + i), 3000, "runner-1234" });
         }
         print("load-deltas", count, size(digest), "B");
         print("placement-exceptions", count, size(exceptions), "B");
@@ -88,7 +92,9 @@
             auto [from, envelope] = std::move(queue.front());
             queue.pop_front();
             if (isCounted)
-                std::visit([&](const auto& message) { bytes += static_cast<double>(peer::encode(message).size() + 12); }, envelope.message);
+                std::visit(
+                    [&](const auto& message) { bytes += static_cast<double>(peer::encode(message).size() + 12); },
+                    envelope.message);
             apply(envelope.to, nodes.at(envelope.to).receive(from, envelope.message, now));
         }
     };
@@ -126,7 +132,8 @@
         for (int i = 0; i < ticks; ++i)
             apply(observed, nodes.at(observed).tick(now));
     });
-    print("claims-tick", nodes.at(observed).records() + nodes.at(observed).grants(), tickSeconds / ticks * 1e6, "us per tick");
+    print("claims-tick", nodes.at(observed).records() + nodes.at(observed).grants(), tickSeconds / ticks * 1e6,
+        "us per tick");
     print("claim-bytes", daemons, bytes / 1000, "B per claim over the fleet");
 }
 
--- a/src/daemon/ControlRouting.cpp
+++ b/src/daemon/ControlRouting.cpp
@@ -19,8 +19,8 @@
 
     Problem quarantineProblem(Duration remaining)
     {
-        return { 422, ProblemCode::Quarantined, "this request crashed the upstreams that ran it", ProblemOutcome::NotRun,
-            std::chrono::ceil<std::chrono::milliseconds>(remaining) };
+        return { 422, ProblemCode::Quarantined, "this request crashed the upstreams that ran it",
+            ProblemOutcome::NotRun, std::chrono::ceil<std::chrono::milliseconds>(remaining) };
     }
 
     Problem toProblem(const admission::Decision& decision)
@@ -106,6 +106,7 @@
             m_view.reportFailure(upstream, now);
         if (end == AttemptEnd::Broken && !m_deathChecks.contains(upstream)) {
             DeathCheck check;
+            check.startedAt = now;
             for (const auto& [id, active] : m_active) {
                 if (active.upstream == upstream)
                     check.running.push_back(active.request.fingerprint);
@@ -297,14 +298,18 @@
     upstream::Call call;
     call.url = "http://" + member->host.address + "/v1/load";
     call.timeout = reportTimeout;
-    m_client.fetch(call, [this, upstream](const auto& result, std::uint16_t status, const std::string& body) {
-        m_reportsUnderWay.erase(upstream);
-        onReport(upstream, result, status, body);
-    });
+    const auto startedAt = currentTime();
+    m_client.fetch(
+        call, [this, upstream, startedAt](const auto& result, std::uint16_t status, const std::string& body) {
+            m_reportsUnderWay.erase(upstream);
+            onReport(upstream, startedAt, result, status, body);
+            if (m_deathChecks.contains(upstream))
+                pollReport(upstream);
+        });
 }
 
-void ControlThread::onReport(
-    const std::string& upstream, const upstream::CallResult& result, std::uint16_t status, const std::string& body)
+void ControlThread::onReport(const std::string& upstream, TimePoint startedAt, const upstream::CallResult& result,
+    std::uint16_t status, const std::string& body)
 {
     const auto now = currentTime();
     const auto json = nlohmann::json::parse(body, nullptr, false);
@@ -315,7 +320,7 @@
         m_view.reportFailure(upstream, now);
         // A connection that broke under the report says nothing yet; the next report does.
         if (result.end != upstream::CallEnd::Broken)
-            settleDeathCheck(upstream, result.end == upstream::CallEnd::NeverConnected);
+            settleDeathCheck(upstream, startedAt, result.end == upstream::CallEnd::NeverConnected);
         return;
     }
     m_view.reportSuccess(upstream, now);
@@ -327,7 +332,7 @@
     const auto work = placement::workOf(waiting, placement::expectedOutputTokens * json["running"].get<double>());
     const bool isRestarted = !m_instances[upstream].empty() && m_instances[upstream] != instance;
     m_instances[upstream] = instance;
-    settleDeathCheck(upstream, isRestarted);
+    settleDeathCheck(upstream, startedAt, isRestarted);
     for (auto& [name, fleet] : m_fleets) {
         if (isRestarted)
             fleet.forgetCache(upstream);
@@ -335,15 +340,17 @@
     }
 }
 
-void ControlThread::settleDeathCheck(const std::string& upstream, bool isDead)
+void ControlThread::settleDeathCheck(const std::string& upstream, TimePoint reportStartedAt, bool isDead)
 {
     const auto found = m_deathChecks.find(upstream);
-    if (found == m_deathChecks.end())
+    // A report that was under way when the connection broke may stem from before the death.
+    if (found == m_deathChecks.end() || (!isDead && reportStartedAt <= found->second.startedAt))
         return;
     const auto check = std::move(found->second);
     m_deathChecks.erase(found);
     if (isDead) {
-        logWarning("upstream-death", { { "upstream", upstream }, { "requests", static_cast<std::uint64_t>(check.running.size()) } });
+        logWarning("upstream-death",
+            { { "upstream", upstream }, { "requests", static_cast<std::uint64_t>(check.running.size()) } });
         for (const auto digest : m_quarantine.recordDeath(check.running, currentTime())) {
             logWarning("quarantine", { { "request", toHex(digest) }, { "upstream", upstream } });
             m_mesh.broadcast(peer::QuarantineNotice { digest });
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -61,6 +61,7 @@
         TimePoint sendBefore {};
     };
     struct DeathCheck {
+        TimePoint startedAt {};
         std::vector<dispatch::RequestDigest> running;
         /// Requests that wait for the result, with the upstreams that failed them.
         std::vector<std::pair<Ticket, std::vector<std::string>>> waiting;
@@ -88,9 +89,9 @@
 
     void pollReports();
     void pollReport(const std::string& upstream);
-    void onReport(
-        const std::string& upstream, const upstream::CallResult& result, std::uint16_t status, const std::string& body);
-    void settleDeathCheck(const std::string& upstream, bool isDead);
+    void onReport(const std::string& upstream, TimePoint startedAt, const upstream::CallResult& result,
+        std::uint16_t status, const std::string& body);
+    void settleDeathCheck(const std::string& upstream, TimePoint reportStartedAt, bool isDead);
 
     void broadcast(const peer::Message& message);
     void shareDigests();
