--- a/src/upstream/CurlClient.cpp
+++ b/src/upstream/CurlClient.cpp
@@ -80,13 +80,16 @@
         return size * count;
     }
 
-    CallResult resultOf(CURLcode code)
+    CallResult resultOf(CURL* easy, CURLcode code)
     {
+        // A kept connection that dies makes the library connect anew; a refusal then proves nothing.
+        long bytesSent = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytesSent);
         CallResult result;
         result.detail = curl_easy_strerror(code);
         if (code == CURLE_OK)
             result.end = CallEnd::Complete;
-        else if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+        else if (bytesSent == 0 && (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST))
             result.end = CallEnd::NeverConnected;
         else if (code == CURLE_OPERATION_TIMEDOUT)
             result.end = CallEnd::TimedOut;
@@ -289,7 +292,7 @@
         if (code == CURLE_OK)
             transfer->respondOnce();
         if (transfer->events.ended)
-            transfer->events.ended(resultOf(code));
+            transfer->events.ended(resultOf(transfer->easy, code));
     }
 
     void remove(CallId id)
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -67,7 +67,9 @@
                     return;
                 connection->buffer.clear();
                 const auto answer = m_script[std::min(m_requests++, m_script.size() - 1)];
-                if (answer == "close")
+                if (answer == "vanish")
+                    m_acceptor.close();
+                if (answer == "close" || answer == "vanish")
                     return;
                 asio::write(connection->socket, asio::buffer(answer));
                 read(connection);
@@ -108,6 +110,39 @@
     CHECK(requestsSeenAfterDrop(false) == 2);
 }
 
+TEST_CASE("a refused connection proves nothing when the request went out on a kept one before")
+{
+    asio::io_context context;
+    ScriptedServer server(context, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "vanish" });
+    upstream::CurlClient client(context);
+    upstream::Call call;
+    call.method = "POST";
+    call.url = server.url();
+    call.body = "body-end";
+    auto end = upstream::CallEnd::Complete;
+    client.fetch(call, [&](const auto&, std::uint16_t, const std::string&) {
+        asio::post(context, [&] {
+            client.fetch(call, [&](const upstream::CallResult& result, std::uint16_t, const std::string&) {
+                end = result.end;
+                context.stop();
+            });
+        });
+    });
+    context.run();
+    CHECK(end == upstream::CallEnd::Broken);
+
+    SUBCASE("and proves it when nothing was sent")
+    {
+        context.restart();
+        client.fetch(call, [&](const upstream::CallResult& result, std::uint16_t, const std::string&) {
+            end = result.end;
+            context.stop();
+        });
+        context.run();
+        CHECK(end == upstream::CallEnd::NeverConnected);
+    }
+}
+
 TEST_CASE("redirects are handed on, not followed")
 {
     asio::io_context context;
