--- a/src/daemon/RequestSession.cpp
+++ b/src/daemon/RequestSession.cpp
@@ -55,8 +55,8 @@
     /// Headers of a caller that go on to the upstream.
     bool isForwarded(const std::string& name)
     {
-        static const std::vector<std::string> held { "host", "connection", "content-length", "transfer-encoding",
-            "expect", "keep-alive", "upgrade", "te", "trailer" };
+        static const std::vector<std::string> held { "eelgrassford-call-id", "host", "connection", "content-length",
+            "transfer-encoding", "expect", "keep-alive", "upgrade", "te", "trailer" };
         return std::none_of(
             held.begin(), held.end(), [&](const auto& item) { return gateway::isEqualIgnoringCase(item, name); });
     }
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -269,8 +269,9 @@
             if (!reader)
                 return;
             while (generation->sent < generation->produced) {
-                const Json delta { { "choices",
-                    { { { "index", 0 }, { "delta", { { "content", generation->token(generation->sent) } } } } } } };
+                const Json delta { { "produced_ns", Clock::now().time_since_epoch().count() },
+                    { "choices",
+                        { { { "index", 0 }, { "delta", { { "content", generation->token(generation->sent) } } } } } } };
                 reader->write("id: " + std::to_string(generation->sent) + "\ndata: " + delta.dump() + "\n\n");
                 ++generation->sent;
                 if (m_fault == "close-mid-stream" && generation->sent == generation->tokens / 2) {
--- a/tests/e2e/fleet.test.sh
+++ b/tests/e2e/fleet.test.sh
@@ -110,6 +110,8 @@
 check "a declined request is answered elsewhere" equal "$(chat 1 'a broken stream' 20)" "$whole"
 engine_fault "$runner" none > "$work/out"
 
+check "a call id of the caller's own is not passed on" equal "$(curl -s -m 20 -o "$work/body" -w '%{http_code}' "$(daemon_url 1)/v1/chat/completions" -H 'Eelgrassford-Organisation: yard' -H 'Eelgrassford-Call-Id: mine' -d '{"model":"drum-report","max_tokens":2,"messages":[{"role":"user","content":"id"}]}')" 200
+
 echo "== configuration"
 sed -i 's/^weight = 8/weight = 9/' "$work/services/organisations.toml"
 publish
