--- a/src/claims/ClaimsNode.h
+++ b/src/claims/ClaimsNode.h
@@ -3,6 +3,7 @@
 #include "claims/Claimant.h"
 #include "claims/Messages.h"
 #include "claims/Witness.h"
+#include "claims/WitnessChoice.h"
 #include <deque>
 #include <map>
 #include <set>
@@ -31,19 +32,6 @@
 
 using Action = std::variant<Envelope, Dispatch, Settle>;
 
-/// @brief An entry host as the host list gives it.
-struct EntryHost {
-    HostId id;
-    std::string dataCentre;
-};
-
-/// @brief Chooses the witnesses of a group by rendezvous, spread over data centres.
-/// @param hosts all entry hosts that the list names
-/// @param group the group of keys
-/// @param count witnesses wanted; fewer hosts mean all of them
-/// @complexity O(n log n) in the number of hosts
-std::vector<HostId> chooseWitnesses(std::span<const EntryHost> hosts, std::uint32_t group, std::size_t count);
-
 /// @brief One daemon's part in running each non-idempotent request at most once.
 ///
 /// Every call returns the actions to take; the object has no I/O, clock or thread.
--- a/src/platform/PlatformWatcher.cpp
+++ b/src/platform/PlatformWatcher.cpp
@@ -53,16 +53,8 @@
     ++m_calls;
     const auto url = m_options.configurationUrl + "/manifest?after=" + std::to_string(m_manifest.known);
     m_client.fetch(makeCall(url), [this](const auto& result, std::uint16_t status, const std::string& body) {
-        m_manifest.isWaiting = false;
-        m_manifest.nextAt = m_now;
-        if (result.end == upstream::CallEnd::Complete && status == notModifiedStatus) {
-            m_manifest.retry = m_options.firstRetry;
-            return;
-        }
-        if (result.end != upstream::CallEnd::Complete || status != okStatus) {
-            fail(m_manifest, "configuration", result.detail + ", status " + std::to_string(status));
+        if (!hasNews(m_manifest, "configuration", result, status))
             return;
-        }
         const auto manifest = config::parseManifest(body);
         if (!manifest) {
             fail(m_manifest, "configuration", manifest.error().message());
@@ -116,16 +108,8 @@
     ++m_calls;
     const auto url = m_options.hostListUrl + "?after=" + std::to_string(m_hostList.known);
     m_client.fetch(makeCall(url), [this](const auto& result, std::uint16_t status, const std::string& body) {
-        m_hostList.isWaiting = false;
-        m_hostList.nextAt = m_now;
-        if (result.end == upstream::CallEnd::Complete && status == notModifiedStatus) {
-            m_hostList.retry = m_options.firstRetry;
-            return;
-        }
-        if (result.end != upstream::CallEnd::Complete || status != okStatus) {
-            fail(m_hostList, "host-list", result.detail + ", status " + std::to_string(status));
+        if (!hasNews(m_hostList, "host-list", result, status))
             return;
-        }
         const auto list = membership::parseHostList(body);
         if (!list) {
             fail(m_hostList, "host-list", list.error().message());
@@ -139,6 +123,19 @@
     });
 }
 
+bool PlatformWatcher::hasNews(
+    Source& source, const std::string& name, const upstream::CallResult& result, std::uint16_t status)
+{
+    source.isWaiting = false;
+    source.nextAt = m_now;
+    const bool isComplete = result.end == upstream::CallEnd::Complete;
+    if (isComplete && status == notModifiedStatus)
+        source.retry = m_options.firstRetry;
+    else if (!isComplete || status != okStatus)
+        fail(source, name, result.detail + ", status " + std::to_string(status));
+    return isComplete && status == okStatus;
+}
+
 void PlatformWatcher::fail(Source& source, const std::string& name, const std::string& detail)
 {
     source.nextAt = m_now + fromSeconds(toSeconds(source.retry) * (0.5 + m_random()));
--- a/src/platform/PlatformWatcher.h
+++ b/src/platform/PlatformWatcher.h
@@ -61,6 +61,8 @@
     void watchManifest();
     void watchHostList();
     void fetchParts(const config::Manifest& manifest, std::size_t next);
+    /// Ends a watch; true if it brought a document.
+    bool hasNews(Source& source, const std::string& name, const upstream::CallResult& result, std::uint16_t status);
     void fail(Source& source, const std::string& name, const std::string& detail);
     upstream::Call makeCall(const std::string& url) const;
 
--- a/standins/ApplicationRunner.cpp
+++ b/standins/ApplicationRunner.cpp
@@ -1,6 +1,5 @@
 #include "StandIns.h"
 
-#include "gateway/HttpServer.h"
 #include <map>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -83,14 +82,10 @@
 void runApplicationRunner(asio::io_context& context, const ApplicationRunnerOptions& options)
 {
     const auto runner = std::make_shared<ApplicationRunner>(context, options);
-    gateway::HttpServer::Options server;
-    server.ip = options.ip;
-    server.port = options.port;
-    const gateway::HttpServer listener(
-        context, server, [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
+    serve(context, options.ip, options.port,
+        [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
             runner->handle(request, responder);
         });
-    context.run();
 }
 
 }
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -1,7 +1,6 @@
 #include "StandIns.h"
 
 #include "common/Hash.h"
-#include "gateway/HttpServer.h"
 #include <charconv>
 #include <deque>
 #include <list>
@@ -337,14 +336,10 @@
 {
     const auto engine = std::make_shared<ModelEngine>(context, options);
     engine->sampleLoad();
-    gateway::HttpServer::Options server;
-    server.ip = options.ip;
-    server.port = options.port;
-    const gateway::HttpServer listener(
-        context, server, [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
+    serve(context, options.ip, options.port,
+        [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
             engine->handle(request, responder);
         });
-    context.run();
 }
 
 }
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -121,17 +121,22 @@
     return {};
 }
 
+void serve(asio::io_context& context, const std::string& ip, std::uint16_t port, gateway::Handler handler)
+{
+    gateway::HttpServer::Options options;
+    options.ip = ip;
+    options.port = port;
+    const gateway::HttpServer server(context, options, std::move(handler));
+    context.run();
+}
+
 void runPlatform(asio::io_context& context, const PlatformOptions& options)
 {
     const auto platform = std::make_shared<Platform>(context, options);
-    gateway::HttpServer::Options server;
-    server.ip = options.ip;
-    server.port = options.port;
-    const gateway::HttpServer listener(
-        context, server, [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
+    serve(context, options.ip, options.port,
+        [&](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
             platform->handle(request, responder);
         });
-    context.run();
 }
 
 }
--- a/standins/StandIns.h
+++ b/standins/StandIns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/Http.h"
 #include <asio.hpp>
 #include <cstdint>
 #include <string>
@@ -44,6 +45,9 @@
 void runApplicationRunner(asio::io_context& context, const ApplicationRunnerOptions& options);
 void runPlatform(asio::io_context& context, const PlatformOptions& options);
 
+/// @brief Serves requests with a handler until the process ends.
+void serve(asio::io_context& context, const std::string& ip, std::uint16_t port, gateway::Handler handler);
+
 /// @brief Value of one parameter of a query, empty if absent.
 std::string queryParameter(std::string_view query, std::string_view name);
 
