Keep a model's strategy while its name stays the same

Cause, found on reading the whole change again: the daemon made each model's strategy anew on every refresh, once a second. That threw away what it had learned (the mean size of reusable prefixes, on which the bound rests, and the turn of round-robin) besides the work done over and over.

Ruled out: keeping the learned state outside the strategy, which would spread it over two objects.

Change: a fleet changes its strategy only when the name changes. A probe counter that was always zero and a copied set of peers that only served for its size go.

Test: naming the same strategy again keeps its state. It was not run against the old code, whose interface differs.

--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -346,10 +346,11 @@
         const auto [position, isNew] = m_fleets.try_emplace(name, placement::ModelFleet::Options {}, nullptr);
         auto& fleet = position->second;
         fleet.setLoadBound(loadBound);
-        auto chosen = placement::makeStrategy(strategy, random);
-        if (!chosen && isNew)
-            logError("unknown-strategy", { { "model", name }, { "strategy", strategy } });
-        fleet.setStrategy(chosen ? std::move(chosen) : placement::makeStrategy("bounded-load", random));
+        if (!fleet.useStrategy(strategy, random)) {
+            fleet.useStrategy("bounded-load", random);
+            if (isNew)
+                logError("unknown-strategy", { { "model", name }, { "strategy", strategy } });
+        }
         std::vector<membership::Host> hosts;
         for (const auto& host : m_view.list().hosts) {
             if (host.region == m_settings.region && serves(host))
@@ -427,7 +428,6 @@
     if (m_isReady || !isInformed)
         return;
     // Peers first: a stale service must not take a running fleet back.
-    const auto connected = m_mesh.connected();
     const bool hasAllHeard = std::all_of(
         m_neighbours.begin(), m_neighbours.end(), [&](const auto& id) { return m_peerRevisions.contains(id); });
     const bool isBehind = std::any_of(m_peerRevisions.begin(), m_peerRevisions.end(),
@@ -435,7 +435,8 @@
     if (isBehind || (!hasAllHeard && now - m_listedAt < startGrace))
         return;
     m_isReady = true;
-    logInfo("ready", { { "revision", m_store.revision() }, { "peers", static_cast<std::uint64_t>(connected.size()) } });
+    logInfo("ready",
+        { { "revision", m_store.revision() }, { "peers", static_cast<std::uint64_t>(m_mesh.connected().size()) } });
 }
 
 }
--- a/src/placement/BoundedLoadStrategy.cpp
+++ b/src/placement/BoundedLoadStrategy.cpp
@@ -20,7 +20,7 @@
     learnSize(request);
     Decision decision;
     decision.bound = boundOf(request, fleet);
-    const auto home = nthChoice(request.chat, 0, fleet);
+    const auto home = firstChoice(request.chat, fleet);
     const auto* const exception = fleet.memory.find(request.chat);
     const bool isRemembered = exception && isEligible(exception->runner, fleet);
     const auto warm = isRemembered ? exception->runner : home;
@@ -86,11 +86,11 @@
     return runner < fleet.eligible.size() && fleet.eligible[runner] != 0;
 }
 
-RunnerIndex BoundedLoadStrategy::nthChoice(std::uint64_t chat, std::uint32_t skipped, const Fleet& fleet) const
+RunnerIndex BoundedLoadStrategy::firstChoice(std::uint64_t chat, const Fleet& fleet) const
 {
     for (std::uint32_t probe = 0; probe < m_options.probes; ++probe) {
         const auto runner = fleet.table.at(mix64(chat, probe));
-        if (isEligible(runner, fleet) && skipped-- == 0)
+        if (isEligible(runner, fleet))
             return runner;
     }
     return noRunner;
--- a/src/placement/BoundedLoadStrategy.h
+++ b/src/placement/BoundedLoadStrategy.h
@@ -35,7 +35,7 @@
 private:
     static bool fits(double work, RunnerIndex runner, double load, const Fleet& fleet, double bound);
     static bool isEligible(RunnerIndex runner, const Fleet& fleet);
-    RunnerIndex nthChoice(std::uint64_t chat, std::uint32_t skipped, const Fleet& fleet) const;
+    RunnerIndex firstChoice(std::uint64_t chat, const Fleet& fleet) const;
     bool takePrevious(const Request& request, RunnerIndex previous, const Fleet& fleet, Decision& decision) const;
     void takeLeastLoaded(const Request& request, const Fleet& fleet, Decision& decision) const;
     double boundOf(const Request& request, const Fleet& fleet) const;
--- a/src/placement/ModelFleet.cpp
+++ b/src/placement/ModelFleet.cpp
@@ -12,6 +12,18 @@
 {
 }
 
+bool ModelFleet::useStrategy(std::string_view name, const RandomSource& random)
+{
+    if (m_strategy && name == m_strategyName)
+        return true;
+    auto strategy = makeStrategy(name, random);
+    if (!strategy)
+        return false;
+    m_strategy = std::move(strategy);
+    m_strategyName = name;
+    return true;
+}
+
 void ModelFleet::update(std::span<const membership::Host> hosts, const membership::View& view, TimePoint now)
 {
     std::vector<SlotTable::Member> members;
--- a/src/placement/ModelFleet.h
+++ b/src/placement/ModelFleet.h
@@ -24,7 +24,9 @@
     ModelFleet(const Options& options, std::unique_ptr<Strategy> strategy);
 
     void setLoadBound(double bound) { m_options.loadBound = bound; }
-    void setStrategy(std::unique_ptr<Strategy> strategy) { m_strategy = std::move(strategy); }
+    /// @brief Changes to a strategy by its name; the present one keeps what it has learned if the name is the same.
+    /// @return false, with nothing changed, if the name is unknown
+    bool useStrategy(std::string_view name, const RandomSource& random);
 
     /// @brief Takes the hosts that serve it now and their eligibility.
     void update(std::span<const membership::Host> hosts, const membership::View& view, TimePoint now);
@@ -59,6 +61,7 @@
 
     Options m_options;
     std::unique_ptr<Strategy> m_strategy;
+    std::string m_strategyName;
     SlotTable m_table;
     LoadBook m_loads;
     PlacementMemory m_memory;
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -207,6 +207,17 @@
         }
     }
 
+    SUBCASE("keeps what its strategy has learned when the same one is named again")
+    {
+        ModelFleet turns({}, nullptr);
+        REQUIRE(turns.useStrategy("round-robin", {}));
+        turns.update(list.hosts, view, now);
+        const auto first = turns.choose({ 1, 100, 0, 100 }, {}, now).runner;
+        REQUIRE(turns.useStrategy("round-robin", {}));
+        CHECK(turns.choose({ 1, 100, 0, 100 }, {}, now).runner != first);
+        CHECK_FALSE(turns.useStrategy("no-such-strategy", {}));
+    }
+
     SUBCASE("forgets exceptions that point to a runner that restarted")
     {
         fleet.memory().record({ 1, 3, noRunner, 100 });
