--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -3,7 +3,6 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <asio.hpp>
-#include <charconv>
 #include <iostream>
 
 namespace eelgrassford::daemon {
@@ -112,24 +111,6 @@
 
 }
 
-std::optional<Address> Address::parse(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    auto ip = text.substr(0, colon);
-    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
-        ip = ip.substr(1, ip.size() - 2);
-    asio::error_code error;
-    asio::ip::make_address(ip, error);
-    std::uint16_t port = 0;
-    const auto* end = text.data() + text.size();
-    const auto [rest, result] = std::from_chars(text.data() + colon + 1, end, port);
-    if (error || result != std::errc {} || rest != end || port == 0)
-        return std::nullopt;
-    return Address { ip, port };
-}
-
 std::optional<Settings> readSettings(int argumentCount, const char* const* arguments, int& exitCode)
 {
     Settings settings;
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/Address.h"
 #include "common/Time.h"
 #include "peer/Handshake.h"
 #include <cstdint>
@@ -8,15 +9,6 @@
 
 namespace eelgrassford::daemon {
 
-/// @brief An IP address and a port.
-struct Address {
-    std::string ip;
-    std::uint16_t port = 0;
-
-    /// @brief Reads "IP:PORT", with IPv6 addresses in brackets.
-    static std::optional<Address> parse(const std::string& text);
-};
-
 /// @brief Everything that a daemon is told at its start, checked.
 struct Settings {
     std::string host;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,12 @@
 #include "daemon/ControlThread.h"
 #include "daemon/Settings.h"
 #include "daemon/TrafficThread.h"
+#include "edge/Relay.h"
+#include "platform/Documents.h"
+#include "platform/Headers.h"
+#include "platform/StoreProtocol.h"
 #include "telemetry/DecisionLog.h"
+#include <CLI/CLI.hpp>
 #include <asio.hpp>
 #include <iostream>
 #include <thread>
@@ -84,10 +89,32 @@
     asio::steady_timer m_drainTimer;
 };
 
+/// Serves as a relay on the users' platform: `eelgrassfordd relay --settings FILE`.
+int mainRelay(int argumentCount, char** arguments)
+{
+    CLI::App app("Relays requests between callers and runners", "eelgrassfordd relay");
+    std::string settingsPath;
+    std::string logLevel = "info";
+    app.add_option("--settings", settingsPath, "Settings file (TOML); see docs/CONFIGURATION.md")
+        ->envname("EELGRASSFORD_CONFIG")
+        ->required();
+    app.add_option("--log-level", logLevel, "Least level that is logged")
+        ->envname("EELGRASSFORD_LOG_LEVEL")
+        ->check(CLI::IsMember({ "debug", "info", "warn", "error" }))
+        ->capture_default_str();
+    CLI11_PARSE(app, argumentCount, arguments);
+    const platform::StoreProtocol store;
+    const platform::Documents documents;
+    const platform::Headers headers;
+    return edge::runRelay(settingsPath, logLevel, { store, documents, headers });
+}
+
 }
 
 int main(int argumentCount, char** arguments)
 {
+    if (argumentCount > 1 && std::string_view(arguments[1]) == "relay")
+        return mainRelay(argumentCount - 1, arguments + 1);
     int exitCode = 0;
     const auto settings = readSettings(argumentCount, arguments, exitCode);
     if (!settings)
--- /dev/null
+++ b/src/edge/ControlLoop.cpp
@@ -0,0 +1,242 @@
+#include "edge/ControlLoop.h"
+
+#include "daemon/SystemClock.h"
+#include "telemetry/DecisionLog.h"
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace eelgrassford::edge {
+
+using daemon::currentTime;
+
+namespace {
+
+    constexpr auto tickInterval = std::chrono::milliseconds(50);
+    constexpr Duration suspendedThreshold = std::chrono::milliseconds(1500);
+    /// Settings may change without a signal.
+    constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
+    constexpr Duration connectTimeout = std::chrono::milliseconds(500);
+
+    std::string readFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+}
+
+ControlLoop::ControlLoop(const RelaySettings& settings, std::string settingsPath, const store::Protocol& protocol,
+    const DocumentCodec& documents, TrafficLoop& traffic, telemetry::Metrics& metrics)
+    : m_settings(settings)
+    , m_settingsPath(std::move(settingsPath))
+    , m_settingsText(readFile(m_settingsPath))
+    , m_documents(documents)
+    , m_traffic(traffic)
+    , m_metrics(metrics)
+    , m_timer(m_context)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_random(std::random_device {}())
+    , m_client(m_context)
+    , m_mirror(protocol, {}, [this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_admin(m_context, settings.admin.ip, settings.admin.port,
+          gateway::AdminServer::Sources { [this] { return isReady(); }, [this] { return m_metrics.serialize(); },
+              [this] { return statusJson(); } },
+          settings.readinessPath)
+    , m_lastTick(currentTime())
+{
+}
+
+void ControlLoop::run()
+{
+    waitForSignal();
+    tick(currentTime());
+    scheduleTick();
+    m_context.run();
+}
+
+void ControlLoop::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        tick(currentTime());
+        scheduleTick();
+    });
+}
+
+void ControlLoop::tick(TimePoint now)
+{
+    if (now - m_lastTick > suspendedThreshold) {
+        m_client.cancel(m_call);
+        m_mirror.restart(now);
+    }
+    m_lastTick = now;
+    if (m_mirror.tick(now))
+        publish();
+    noteContact(now);
+    if (const auto next = m_mirror.next(now))
+        query(*next);
+    if (now >= m_nextSettingsCheckAt) {
+        m_nextSettingsCheckAt = now + settingsCheckInterval;
+        if (readFile(m_settingsPath) != m_settingsText)
+            reloadSettings("change");
+    }
+}
+
+void ControlLoop::query(const store::Query& query)
+{
+    upstream::Call call;
+    call.url = "http://" + m_settings.store.ip + ":" + std::to_string(m_settings.store.port) + query.target;
+    call.timeout = query.timeout;
+    call.connectTimeout = connectTimeout;
+    m_call = m_client.fetch(call,
+        [this](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
+            onResponse(result, status, body);
+        });
+}
+
+void ControlLoop::onResponse(const upstream::CallResult& result, std::uint16_t status, const std::string& body)
+{
+    const auto now = currentTime();
+    bool hasChanged = false;
+    if (result.end == upstream::CallEnd::Complete)
+        hasChanged = m_mirror.respond(status, body, now);
+    else
+        m_mirror.fail(result.detail, now);
+    if (hasChanged)
+        publish();
+    noteContact(now);
+    if (const auto next = m_mirror.next(now))
+        query(*next);
+}
+
+void ControlLoop::noteContact(TimePoint now)
+{
+    const bool isInContact = m_mirror.isComplete() && m_mirror.failure().empty();
+    if (isInContact != m_isInContact) {
+        m_isInContact = isInContact;
+        const auto provenAt = m_mirror.provenAt();
+        telemetry::logWarning(isInContact ? "store-regained" : "store-lost",
+            { { "detail", m_mirror.failure() },
+                { "proof_age_ms", provenAt ? toSeconds(now - *provenAt) * 1000.0 : -1.0 } });
+    }
+    if (m_mirror.provenAt() != m_provenAt) {
+        m_provenAt = m_mirror.provenAt();
+        m_traffic.proveContact(*m_provenAt);
+    }
+}
+
+void ControlLoop::publish()
+{
+    for (const auto& [key, item] : m_mirror.items()) {
+        if (m_documents.isConfigurationKey(key) && item.revision > m_configurationItemRevision)
+            publishConfiguration(item);
+    }
+    publishRunners();
+}
+
+void ControlLoop::publishConfiguration(const store::Item& item)
+{
+    m_configurationItemRevision = item.revision;
+    auto configuration = m_documents.decodeConfiguration(item.value);
+    if (!configuration) {
+        telemetry::logError("configuration-unreadable",
+            { { "store_revision", item.revision }, { "detail", configuration.error().what } });
+        return;
+    }
+    if (configuration->revision <= m_configurationRevision) {
+        telemetry::logWarning("configuration-ignored",
+            { { "offered", configuration->revision }, { "revision", m_configurationRevision } });
+        return;
+    }
+    m_configurationRevision = configuration->revision;
+    telemetry::logInfo("configuration-adopted",
+        { { "revision", configuration->revision }, { "store_revision", item.revision },
+            { "routes", static_cast<std::uint64_t>(configuration->routes.size()) },
+            { "organisations", static_cast<std::uint64_t>(configuration->organisations.size()) } });
+    m_traffic.setRoutes(std::make_shared<const routing::RouteTable>(std::move(*configuration)));
+}
+
+void ControlLoop::publishRunners()
+{
+    std::vector<runners::Entry> entries;
+    for (const auto& [key, item] : m_mirror.items()) {
+        if (!m_documents.isRunnerKey(key))
+            continue;
+        auto entry = m_documents.decodeRunner(key, item.value);
+        if (entry)
+            entries.push_back(std::move(*entry));
+        else
+            telemetry::logWarning("runner-unreadable", { { "key", key }, { "detail", entry.error().what } });
+    }
+    if (entries == m_runners)
+        return;
+    const auto leaving = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
+    telemetry::logInfo("runners-changed",
+        { { "before", static_cast<std::uint64_t>(m_runners.size()) },
+            { "runners", static_cast<std::uint64_t>(entries.size()) },
+            { "leaving", static_cast<std::uint64_t>(leaving) } });
+    m_runners = entries;
+    m_traffic.setRunners(std::move(entries));
+}
+
+void ControlLoop::reloadSettings(const char* trigger)
+{
+    m_settingsText = readFile(m_settingsPath);
+    const auto settings = parseRelaySettings(m_settingsText);
+    if (!settings) {
+        telemetry::logError("reload-failed", { { "trigger", trigger }, { "detail", settings.error().message() } });
+        return;
+    }
+    m_settings = *settings;
+    m_traffic.setSettings(m_settings);
+    telemetry::logInfo("reload", { { "trigger", trigger }, { "host", m_settings.host } });
+}
+
+void ControlLoop::waitForSignal()
+{
+    m_signals.async_wait([this](const asio::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reloadSettings("signal");
+        else
+            beginStop();
+        waitForSignal();
+    });
+}
+
+void ControlLoop::beginStop()
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    telemetry::logInfo("stop-begin", {});
+    m_traffic.beginStop([this] { asio::post(m_context, [this] { m_context.stop(); }); });
+}
+
+bool ControlLoop::isReady() const
+{
+    if (m_isStopping || m_configurationRevision == 0 || m_runners.empty() || !m_provenAt)
+        return false;
+    return currentTime() - *m_provenAt < m_settings.revocation;
+}
+
+std::string ControlLoop::statusJson() const
+{
+    const auto now = currentTime();
+    const nlohmann::json status = {
+        { "host", m_settings.host },
+        { "ready", isReady() },
+        { "configuration_revision", m_configurationRevision },
+        { "runners", m_runners.size() },
+        { "store_queries", m_mirror.queries() },
+        { "proof_age_seconds", m_provenAt ? toSeconds(now - *m_provenAt) : -1.0 },
+    };
+    return status.dump() + "\n";
+}
+
+}
--- /dev/null
+++ b/src/edge/ControlLoop.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "edge/DocumentCodec.h"
+#include "edge/RelaySettings.h"
+#include "edge/TrafficLoop.h"
+#include "gateway/AdminServer.h"
+#include "store/Mirror.h"
+#include "upstream/CurlClient.h"
+#include <random>
+
+namespace eelgrassford::edge {
+
+/// @brief Follows the published configuration and runners on one thread, and tells the traffic loop.
+class ControlLoop {
+public:
+    ControlLoop(const RelaySettings& settings, std::string settingsPath, const store::Protocol& protocol,
+        const DocumentCodec& documents, TrafficLoop& traffic, telemetry::Metrics& metrics);
+
+    void run();
+
+private:
+    void scheduleTick();
+    void tick(TimePoint now);
+    void query(const store::Query& query);
+    void onResponse(const upstream::CallResult& result, std::uint16_t status, const std::string& body);
+    void publish();
+    void publishConfiguration(const store::Item& item);
+    void publishRunners();
+    void noteContact(TimePoint now);
+    void reloadSettings(const char* trigger);
+    void waitForSignal();
+    void beginStop();
+    bool isReady() const;
+    std::string statusJson() const;
+
+    RelaySettings m_settings;
+    std::string m_settingsPath;
+    std::string m_settingsText;
+    const DocumentCodec& m_documents;
+    TrafficLoop& m_traffic;
+    telemetry::Metrics& m_metrics;
+    asio::io_context m_context { 1 };
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+    std::mt19937_64 m_random;
+    upstream::CurlClient m_client;
+    store::Mirror m_mirror;
+    gateway::AdminServer m_admin;
+    std::uint64_t m_configurationRevision = 0;
+    std::uint64_t m_configurationItemRevision = 0;
+    std::vector<runners::Entry> m_runners;
+    std::optional<TimePoint> m_provenAt;
+    upstream::CallId m_call = 0;
+    TimePoint m_lastTick {};
+    TimePoint m_nextSettingsCheckAt {};
+    bool m_isInContact = false;
+    bool m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/src/edge/Relay.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "edge/DocumentCodec.h"
+#include "proxy/Codec.h"
+#include "store/Protocol.h"
+#include <string>
+
+namespace eelgrassford::edge {
+
+/// @brief What a platform speaks, as far as the daemon has to know it.
+struct PlatformAdapter {
+    const store::Protocol& store;
+    const DocumentCodec& documents;
+    const proxy::Codec& headers;
+};
+
+/// @brief Runs the daemon as a relay between callers and runners until it is told to stop.
+/// @param settingsPath settings file; see RelaySettings
+/// @return exit code of the process
+int runRelay(const std::string& settingsPath, const std::string& logLevel, const PlatformAdapter& adapter);
+
+}
--- /dev/null
+++ b/src/edge/RelaySettings.cpp
@@ -0,0 +1,144 @@
+#include "edge/RelaySettings.h"
+
+#include <fstream>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace eelgrassford::edge {
+
+namespace {
+
+    /// Collects values of a document, and says what is wrong with them.
+    class Reader {
+    public:
+        explicit Reader(const toml::table& document)
+            : m_document(document)
+        {
+        }
+
+        std::string text(std::string_view path)
+        {
+            const auto value = m_document.at_path(path).value<std::string>();
+            if (!value || value->empty())
+                report(path, "a text that is not empty");
+            return value.value_or("");
+        }
+
+        std::string optionalText(std::string_view path, std::string fallback)
+        {
+            const auto node = m_document.at_path(path);
+            const auto value = node.value<std::string>();
+            if (node && !value)
+                report(path, "a text");
+            return value.value_or(std::move(fallback));
+        }
+
+        Address address(std::string_view path)
+        {
+            const auto value = m_document.at_path(path).value<std::string>();
+            const auto result = value ? Address::parse(*value) : std::nullopt;
+            if (!result)
+                report(path, "IP:PORT");
+            return result.value_or(Address {});
+        }
+
+        double number(std::string_view path, double fallback, double least, double most)
+        {
+            const auto node = m_document.at_path(path);
+            if (!node)
+                return fallback;
+            const auto value = node.value<double>();
+            if (!value || *value < least || *value > most) {
+                report(path, "a number from " + std::to_string(least) + " to " + std::to_string(most));
+                return fallback;
+            }
+            return *value;
+        }
+
+        std::vector<std::string> texts(std::string_view path)
+        {
+            std::vector<std::string> result;
+            const auto* array = m_document.at_path(path).as_array();
+            if (!array)
+                return result;
+            for (const auto& element : *array) {
+                if (const auto value = element.value<std::string>())
+                    result.push_back(*value);
+                else
+                    report(path, "a list of texts");
+            }
+            return result;
+        }
+
+        const std::string& errors() const { return m_errors; }
+
+    private:
+        void report(std::string_view path, const std::string& allowed)
+        {
+            std::ostringstream given;
+            if (const auto node = m_document.at_path(path))
+                node.visit([&](const auto& value) { given << value; });
+            if (!m_errors.empty())
+                m_errors += "; ";
+            m_errors += std::string(path) + " = '" + given.str() + "' is not " + allowed;
+        }
+
+        const toml::table& m_document;
+        std::string m_errors;
+    };
+
+    constexpr double mostSeconds = 86400.0;
+    constexpr double mostMilliseconds = mostSeconds * 1000.0;
+
+    Duration milliseconds(double value) { return fromSeconds(value / 1000.0); }
+
+}
+
+tl::expected<RelaySettings, SettingsError> parseRelaySettings(std::string_view text)
+{
+    toml::table document;
+    try {
+        document = toml::parse(text);
+    } catch (const toml::parse_error& error) {
+        std::ostringstream where;
+        where << error.source().begin;
+        return tl::unexpected(SettingsError { std::string(error.description()) + " at " + where.str() });
+    }
+    Reader reader(document);
+    RelaySettings settings;
+    settings.host = reader.text("host");
+    settings.dataCentre = reader.text("data_centre");
+    settings.region = reader.optionalText("region", settings.dataCentre);
+    settings.ip = reader.text("ip");
+    settings.callers = reader.address("listen.callers");
+    settings.admin = reader.address("listen.admin");
+    settings.readinessPath = reader.optionalText("listen.readiness_path", settings.readinessPath);
+    settings.store = reader.address("store.address");
+    settings.fleetPort = static_cast<std::uint16_t>(reader.number("fleet.port", 0, 0, 65535));
+    settings.seeds = reader.texts("fleet.seeds");
+    settings.grace = fromSeconds(reader.number("stop.grace_seconds", toSeconds(settings.grace), 0.5, mostSeconds));
+    settings.revocation = milliseconds(
+        reader.number("credentials.revocation_milliseconds", toSeconds(settings.revocation) * 1000.0, 100, mostMilliseconds));
+    settings.retryRatio = reader.number("retries.ratio", settings.retryRatio, 0, 10);
+    settings.retryAllowance = reader.number("retries.allowance", settings.retryAllowance, 0, 1e6);
+    settings.retryWindow
+        = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, mostSeconds));
+    settings.runnerHeartbeat = milliseconds(
+        reader.number("runners.heartbeat_milliseconds", toSeconds(settings.runnerHeartbeat) * 1000.0, 10, mostMilliseconds));
+    settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
+    if (!reader.errors().empty())
+        return tl::unexpected(SettingsError { reader.errors() });
+    return settings;
+}
+
+tl::expected<RelaySettings, SettingsError> readRelaySettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return tl::unexpected(SettingsError { "cannot read " + path });
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseRelaySettings(text.str());
+}
+
+}
--- /dev/null
+++ b/src/edge/TrafficLoop.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "edge/RelaySettings.h"
+#include "gateway/StreamServer.h"
+#include "proxy/Router.h"
+#include <atomic>
+
+namespace eelgrassford::edge {
+
+/// @brief Serves callers on one thread. The public functions may be called from any thread.
+class TrafficLoop {
+public:
+    TrafficLoop(const RelaySettings& settings, const proxy::Codec& codec, telemetry::Metrics& metrics);
+
+    void run();
+    void end() { m_context.stop(); }
+    void setRoutes(std::shared_ptr<const routing::RouteTable> routes);
+    void setRunners(std::vector<runners::Entry> entries);
+    void setSettings(const RelaySettings& settings);
+    void proveContact(TimePoint provenAt);
+    /// @brief Begins a graceful stop; @a ended runs on this loop's thread when nothing is under way or time is over.
+    void beginStop(std::function<void()> ended);
+
+private:
+    void scheduleTick();
+    void tick(TimePoint now);
+    void tickStop(TimePoint now);
+
+    RelaySettings m_settings;
+    asio::io_context m_context { 1 };
+    asio::steady_timer m_timer;
+    proxy::Router m_router;
+    gateway::StreamServer m_server;
+    TimePoint m_lastTick {};
+    std::optional<TimePoint> m_stopAt;
+    std::function<void()> m_ended;
+};
+
+}
--- a/src/gateway/AdminServer.cpp
+++ b/src/gateway/AdminServer.cpp
@@ -17,8 +17,10 @@
 
 }
 
-AdminServer::AdminServer(asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources)
+AdminServer::AdminServer(asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources,
+    std::string readinessPath)
     : m_sources(std::move(sources))
+    , m_readinessPath(std::move(readinessPath))
     , m_server(context, serverOptions(ip, port),
           [this](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
               responder->respond(answer(request));
@@ -33,7 +35,7 @@
     const auto path = request.path();
     if (path == "/healthz")
         return { 200, { { "Content-Type", "text/plain" } }, "ok\n" };
-    if (path == "/readyz") {
+    if (path == m_readinessPath) {
         const bool isReady = m_sources.isReady();
         return { static_cast<std::uint16_t>(isReady ? 200 : 503), { { "Content-Type", "text/plain" } },
             isReady ? "ready\n" : "not ready\n" };
@@ -42,7 +44,7 @@
         return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_sources.metrics() };
     if (path == "/admin/status")
         return { 200, { { "Content-Type", "application/json" } }, m_sources.status() };
-    return toResponse({ 404, ProblemCode::UnknownPath, "use /healthz, /readyz, /metrics or /admin/status",
+    return toResponse({ 404, ProblemCode::UnknownPath, "use /healthz, " + m_readinessPath + ", /metrics or /admin/status",
         ProblemOutcome::NotRun, {} });
 }
 
--- a/src/gateway/AdminServer.h
+++ b/src/gateway/AdminServer.h
@@ -4,7 +4,7 @@
 
 namespace eelgrassford::gateway {
 
-/// @brief Serves operators: `/healthz`, `/readyz`, `/metrics` and `/admin/status`.
+/// @brief Serves operators: `/healthz`, readiness, `/metrics` and `/admin/status`.
 class AdminServer {
 public:
     struct Sources {
@@ -14,12 +14,14 @@
         std::function<std::string()> status;
     };
 
-    AdminServer(asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources);
+    AdminServer(asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources,
+        std::string readinessPath = "/readyz");
 
 private:
     HttpResponse answer(const HttpRequest& request) const;
 
     Sources m_sources;
+    std::string m_readinessPath;
     HttpServer m_server;
 };
 
--- /dev/null
+++ b/src/http/MessageParser.cpp
@@ -0,0 +1,190 @@
+#include "http/MessageParser.h"
+
+#include <http_parser.h>
+#include <limits>
+
+namespace eelgrassford::http {
+
+namespace {
+
+    constexpr std::size_t defaultHeaderLimit = 65536;
+    /// Result of a callback that tells http_parser to skip the body.
+    constexpr int skipBody = 1;
+
+}
+
+std::optional<std::string_view> MessageHead::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (gateway::isEqualIgnoringCase(key, name))
+            return value;
+    }
+    return std::nullopt;
+}
+
+class MessageParser::Implementation {
+public:
+    Implementation(Kind kind, Events events)
+        : m_events(std::move(events))
+        , m_isRequest(kind == Kind::Request)
+    {
+        http_parser_init(&m_parser, m_isRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+        m_parser.data = this;
+    }
+
+    tl::expected<std::size_t, ParseError> feed(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return std::size_t { 0 };
+        const auto used = http_parser_execute(&m_parser, &table(), bytes.data(), bytes.size());
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        if (m_isTooLarge)
+            return tl::unexpected(ParseError { "start line and headers are too large", true });
+        if (m_parser.upgrade)
+            return tl::unexpected(ParseError { "a change of protocol is not supported", false });
+        if (error == HPE_PAUSED) {
+            http_parser_pause(&m_parser, 0);
+            return used;
+        }
+        if (error != HPE_OK)
+            return tl::unexpected(ParseError { http_errno_description(error), error == HPE_HEADER_OVERFLOW });
+        return used;
+    }
+
+    bool finish()
+    {
+        if (!m_isInMessage)
+            return true;
+        http_parser_execute(&m_parser, &table(), nullptr, 0);
+        return !m_isInMessage;
+    }
+
+    void setHeaderLimit(std::size_t bytes) { m_headerLimit = bytes; }
+    void expectNoBody(bool isExpected) { m_isBodyExpected = !isExpected; }
+    bool isInMessage() const { return m_isInMessage; }
+
+private:
+    static Implementation& self(http_parser* parser) { return *static_cast<Implementation*>(parser->data); }
+
+    static const http_parser_settings& table()
+    {
+        static const http_parser_settings settings = [] {
+            http_parser_settings result;
+            http_parser_settings_init(&result);
+            result.on_message_begin = [](http_parser* parser) { return self(parser).begin(); };
+            result.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+                self(parser).m_head.target.append(at, size);
+                return self(parser).count(size);
+            };
+            result.on_header_field
+                = [](http_parser* parser, const char* at, std::size_t size) { return self(parser).field({ at, size }); };
+            result.on_header_value
+                = [](http_parser* parser, const char* at, std::size_t size) { return self(parser).value({ at, size }); };
+            result.on_headers_complete = [](http_parser* parser) { return self(parser).headersComplete(); };
+            result.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+                self(parser).m_events.bodyReceived({ at, size });
+                return 0;
+            };
+            result.on_message_complete = [](http_parser* parser) { return self(parser).messageComplete(); };
+            return result;
+        }();
+        return settings;
+    }
+
+    int begin()
+    {
+        m_head = {};
+        m_headerBytes = 0;
+        m_isInMessage = true;
+        m_hasHead = false;
+        m_isValue = false;
+        return 0;
+    }
+
+    int count(std::size_t bytes)
+    {
+        m_headerBytes += bytes;
+        m_isTooLarge = m_headerBytes > m_headerLimit;
+        return m_isTooLarge ? -1 : 0;
+    }
+
+    int field(std::string_view text)
+    {
+        // Trailers of a chunked body are dropped.
+        if (m_hasHead)
+            return 0;
+        if (m_isValue || m_head.headers.empty())
+            m_head.headers.emplace_back();
+        m_isValue = false;
+        m_head.headers.back().first += text;
+        return count(text.size());
+    }
+
+    int value(std::string_view text)
+    {
+        if (m_hasHead)
+            return 0;
+        m_isValue = true;
+        m_head.headers.back().second += text;
+        return count(text.size());
+    }
+
+    int headersComplete()
+    {
+        m_hasHead = true;
+        if (m_isRequest)
+            m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
+        m_head.status = static_cast<std::uint16_t>(m_parser.status_code);
+        m_head.isEndedByClose = !m_isRequest && m_isBodyExpected && hasOpenEnd();
+        m_head.isKeepAlive = http_should_keep_alive(&m_parser) != 0;
+        m_events.headersComplete(m_head);
+        return m_isRequest || m_isBodyExpected ? 0 : skipBody;
+    }
+
+    bool hasOpenEnd() const
+    {
+        const auto status = m_parser.status_code;
+        const bool isBodyless = status / 100 == 1 || status == 204 || status == 304;
+        const bool hasLength = m_parser.content_length != std::numeric_limits<std::uint64_t>::max();
+        return !isBodyless && !hasLength && (m_parser.flags & F_CHUNKED) == 0;
+    }
+
+    int messageComplete()
+    {
+        m_isInMessage = false;
+        http_parser_pause(&m_parser, 1);
+        m_events.messageComplete();
+        return 0;
+    }
+
+    http_parser m_parser {};
+    Events m_events;
+    MessageHead m_head;
+    std::size_t m_headerLimit = defaultHeaderLimit;
+    std::size_t m_headerBytes = 0;
+    bool m_isRequest;
+    bool m_isBodyExpected = true;
+    bool m_isInMessage = false;
+    bool m_hasHead = false;
+    bool m_isValue = false;
+    bool m_isTooLarge = false;
+};
+
+MessageParser::MessageParser(Kind kind, Events events)
+    : m_implementation(std::make_unique<Implementation>(kind, std::move(events)))
+{
+}
+
+MessageParser::~MessageParser() = default;
+
+tl::expected<std::size_t, ParseError> MessageParser::feed(std::string_view bytes)
+{
+    return m_implementation->feed(bytes);
+}
+
+bool MessageParser::finish() { return m_implementation->finish(); }
+void MessageParser::setHeaderLimit(std::size_t bytes) { m_implementation->setHeaderLimit(bytes); }
+void MessageParser::expectNoBody(bool isExpected) { m_implementation->expectNoBody(isExpected); }
+bool MessageParser::isInMessage() const { return m_implementation->isInMessage(); }
+
+}
--- /dev/null
+++ b/src/proxy/Router.cpp
@@ -0,0 +1,160 @@
+#include "proxy/Router.h"
+
+#include "proxy/Session.h"
+#include "telemetry/DecisionLog.h"
+
+namespace eelgrassford::proxy {
+
+namespace {
+
+    constexpr std::uint16_t statusBadRequest = 400;
+    constexpr std::uint16_t statusUnauthorized = 401;
+    constexpr std::uint16_t statusNotFound = 404;
+    constexpr std::uint16_t statusUnavailable = 503;
+    /// Mean time after which a caller is asked to come back while this daemon knows too little.
+    constexpr Duration retryAfterNotReady = std::chrono::milliseconds(500);
+
+}
+
+Router::Router(asio::io_context& context, const RouterOptions& options, const Codec& codec,
+    telemetry::Metrics& metrics, Clock clock)
+    : m_context(context)
+    , m_options(options)
+    , m_codec(codec)
+    , m_metrics(metrics)
+    , m_clock(std::move(clock))
+    , m_random(std::random_device {}())
+    , m_registry(options.registry)
+    , m_prompts(options.rememberedSessions)
+    , m_startedAt(m_clock())
+{
+}
+
+void Router::handle(gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder)
+{
+    const auto now = m_clock();
+    auto facts = m_codec.decodeRequest(request);
+    if (!facts) {
+        telemetry::logInfo("request-refused", { { "reason", "malformed" }, { "detail", facts.error().what } });
+        refuse(*responder, {}, { statusBadRequest, "malformed-request", {} });
+        return;
+    }
+    auto admission = admit(request, *facts, now);
+    if (admission.refusal) {
+        telemetry::logInfo("request-refused",
+            { { "request", facts->attemptId }, { "reason", admission.refusal->reason },
+                { "status", static_cast<int>(admission.refusal->status) },
+                { "revision", m_routes ? m_routes->revision() : 0 },
+                { "proof_age_ms", m_provenAt ? toSeconds(now - *m_provenAt) * 1000.0 : -1.0 } });
+        m_metrics.countOutcome(admission.refusal->reason);
+        refuse(*responder, *facts, *admission.refusal);
+        return;
+    }
+    Session::Start start;
+    start.route = admission.route;
+    start.service = routing::chooseDestination(*start.route, draw());
+    start.routes = m_routes;
+    start.organisation = std::move(admission.organisation);
+    start.arrivedAt = now;
+    start.deadline = now + std::min(start.route->timeout, facts->patience.value_or(start.route->timeout));
+    start.request = std::move(request);
+    start.facts = std::move(*facts);
+    budgetOf(start.service, now).recordFirst(now);
+    std::make_shared<Session>(*this, std::move(start), responder)->run();
+}
+
+Router::Admission Router::admit(const gateway::HttpRequest& request, const RequestFacts& facts, TimePoint now) const
+{
+    Admission result;
+    if (!m_routes) {
+        result.refusal = Refusal { statusUnavailable, "not-configured", retryAfterNotReady };
+        return result;
+    }
+    result.route = m_routes->findRoute(routing::hostName(facts.host), request.path());
+    if (!result.route) {
+        result.refusal = Refusal { statusNotFound, "unknown-route", {} };
+        return result;
+    }
+    if (result.route->isPublic || !m_routes->hasOrganisations())
+        return result;
+    // Credentials may have been withdrawn since this daemon last knew the configuration to be current.
+    if (!isCredentialLeaseValid(now)) {
+        result.refusal = Refusal { statusUnavailable, "credentials-not-verifiable", retryAfterNotReady };
+        return result;
+    }
+    const auto* organisation = m_routes->findOrganisation(facts.credential);
+    if (!organisation) {
+        result.refusal = Refusal { statusUnauthorized, "unknown-credential", {} };
+        return result;
+    }
+    result.organisation = organisation->name;
+    return result;
+}
+
+void Router::refuse(gateway::Responder& responder, const RequestFacts& facts, const Refusal& refusal)
+{
+    gateway::HttpResponse response;
+    response.status = refusal.status;
+    response.headers = m_codec.encodeRefusal(facts.attemptId, refusal.retryAfter);
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = std::string(refusal.reason) + "\n";
+    responder.respond(response);
+}
+
+Duration Router::jitter(Duration mean)
+{
+    // Returns are spread over half to three halves of the mean.
+    return fromSeconds(toSeconds(mean) * (0.5 + std::uniform_real_distribution<double>()(m_random)));
+}
+
+upstream::ConnectionPool& Router::poolOf(const runners::Runner& runner)
+{
+    auto& pool = m_pools[runner.entry.id];
+    if (!pool)
+        pool = std::make_unique<upstream::ConnectionPool>(
+            m_context, runner.entry.ip, runner.entry.port, m_clock, m_options.connections);
+    return *pool;
+}
+
+dispatch::WindowedRetryBudget& Router::budgetOf(const std::string& service, TimePoint now)
+{
+    return m_budgets.try_emplace(service, m_options.retryBudget, std::min(now, m_startedAt)).first->second;
+}
+
+void Router::setOptions(const RouterOptions& options)
+{
+    m_options = options;
+    for (auto& [service, budget] : m_budgets)
+        budget.setOptions(options.retryBudget);
+}
+
+void Router::setRunners(std::span<const runners::Entry> entries)
+{
+    m_registry.apply(entries, m_clock(), [this](const std::string& id) { m_pools.erase(id); });
+}
+
+void Router::proveContact(TimePoint provenAt)
+{
+    if (!m_provenAt || provenAt > *m_provenAt)
+        m_provenAt = provenAt;
+}
+
+bool Router::isCredentialLeaseValid(TimePoint now) const
+{
+    return m_provenAt && now - *m_provenAt < m_options.credentialLease;
+}
+
+void Router::sweep(TimePoint now)
+{
+    for (auto& [id, pool] : m_pools)
+        pool->sweep(now);
+}
+
+void Router::wakeUp(TimePoint now)
+{
+    telemetry::logWarning("process-resumed", { { "uptime_s", toSeconds(now - m_startedAt) } });
+    for (auto& [id, pool] : m_pools)
+        pool->closeIdle();
+}
+
+}
--- /dev/null
+++ b/src/proxy/Router.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "dispatch/QuarantineRegistry.h"
+#include "dispatch/WindowedRetryBudget.h"
+#include "gateway/Http.h"
+#include "proxy/Codec.h"
+#include "proxy/PromptIndex.h"
+#include "routing/RouteTable.h"
+#include "runners/Placement.h"
+#include "runners/Registry.h"
+#include "telemetry/Metrics.h"
+#include "upstream/ConnectionPool.h"
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace eelgrassford::proxy {
+
+/// @brief Figures that decide how requests are relayed.
+struct RouterOptions {
+    std::string host;
+    std::string dataCentre;
+    /// Oldest proof of contact with the source of the configuration with which credentials are honoured.
+    Duration credentialLease = std::chrono::milliseconds(5000);
+    dispatch::WindowedRetryBudget::Options retryBudget;
+    runners::PlacementOptions placement;
+    runners::RegistryOptions registry;
+    upstream::ConnectionPoolOptions connections;
+    /// Silence between events of a resumable stream after which it goes on elsewhere.
+    Duration streamSilence = std::chrono::milliseconds(1200);
+    /// Multiple of the route's latency objective after which an unanswered repeatable request is tried elsewhere.
+    double patienceFactor = 3.0;
+    /// Sessions whose last runner is remembered; a session takes about 150 bytes.
+    std::size_t rememberedSessions = 20000;
+};
+
+/// @brief Everything that decides on relayed requests on one traffic thread. Not safe to share between threads.
+class Router {
+public:
+    using Clock = std::function<TimePoint()>;
+
+    Router(asio::io_context& context, const RouterOptions& options, const Codec& codec, telemetry::Metrics& metrics,
+        Clock clock);
+
+    /// @brief Handles one request of a caller.
+    void handle(gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder);
+
+    void setOptions(const RouterOptions& options);
+    void setRoutes(std::shared_ptr<const routing::RouteTable> routes) { m_routes = std::move(routes); }
+    void setRunners(std::span<const runners::Entry> entries);
+    /// @brief Takes the newest time at which the configuration in force was known to be current.
+    void proveContact(TimePoint provenAt);
+    /// @brief Closes idle connections that are due; call a few times a second.
+    void sweep(TimePoint now);
+    /// @brief The process was suspended: kept connections may be dead.
+    void wakeUp(TimePoint now);
+
+    bool hasRoutes() const { return m_routes != nullptr; }
+    bool hasRunners() const { return !m_registry.runners().empty(); }
+    bool isCredentialLeaseValid(TimePoint now) const;
+    std::size_t underWay() const { return m_underWay; }
+
+private:
+    friend class Session;
+
+    struct Refusal {
+        std::uint16_t status = 503;
+        const char* reason = "";
+        std::optional<Duration> retryAfter;
+    };
+
+    /// What a request may have, or why it is refused.
+    struct Admission {
+        const routing::Route* route = nullptr;
+        std::string organisation;
+        std::optional<Refusal> refusal;
+    };
+
+    Admission admit(const gateway::HttpRequest& request, const RequestFacts& facts, TimePoint now) const;
+    void refuse(gateway::Responder& responder, const RequestFacts& facts, const Refusal& refusal);
+    Duration jitter(Duration mean);
+    upstream::ConnectionPool& poolOf(const runners::Runner& runner);
+    std::uint64_t draw() { return m_random(); }
+    dispatch::WindowedRetryBudget& budgetOf(const std::string& service, TimePoint now);
+    TimePoint now() const { return m_clock(); }
+
+    asio::io_context& m_context;
+    RouterOptions m_options;
+    const Codec& m_codec;
+    telemetry::Metrics& m_metrics;
+    Clock m_clock;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const routing::RouteTable> m_routes;
+    runners::Registry m_registry;
+    std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_pools;
+    std::map<std::string, dispatch::WindowedRetryBudget> m_budgets;
+    PromptIndex m_prompts;
+    std::optional<TimePoint> m_provenAt;
+    TimePoint m_startedAt;
+    std::size_t m_underWay = 0;
+};
+
+}
--- /dev/null
+++ b/src/routing/RouteTable.cpp
@@ -0,0 +1,80 @@
+#include "routing/RouteTable.h"
+
+#include "common/Hash.h"
+#include <algorithm>
+
+namespace eelgrassford::routing {
+
+namespace {
+
+    std::string routeKey(std::string_view host, std::string_view prefix)
+    {
+        std::string key(host);
+        key += '\n';
+        key += prefix;
+        return key;
+    }
+
+}
+
+RouteTable::RouteTable(Configuration configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (const auto& route : m_configuration.routes)
+        m_routes.emplace(routeKey(hostName(route.host), route.pathPrefix), &route);
+    for (const auto& service : m_configuration.services)
+        m_services.emplace(service.name, &service);
+    for (const auto& organisation : m_configuration.organisations) {
+        for (const auto& credential : organisation.credentials)
+            m_organisations.emplace(credential, &organisation);
+    }
+}
+
+const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    for (auto end = path.rfind('/'); end != std::string_view::npos; end = path.rfind('/', end - 1)) {
+        const auto found = m_routes.find(routeKey(host, path.substr(0, end + 1)));
+        if (found != m_routes.end())
+            return found->second;
+        if (end == 0)
+            break;
+    }
+    return nullptr;
+}
+
+const Service* RouteTable::findService(std::string_view name) const
+{
+    const auto found = m_services.find(std::string(name));
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+const Organisation* RouteTable::findOrganisation(std::string_view credential) const
+{
+    const auto found = m_organisations.find(std::string(credential));
+    return found == m_organisations.end() ? nullptr : found->second;
+}
+
+std::string_view chooseDestination(const Route& route, std::uint64_t draw)
+{
+    if (route.destinations.empty())
+        return {};
+    double total = 0.0;
+    for (const auto& destination : route.destinations)
+        total += destination.weight;
+    auto rest = toUnitInterval(draw) * total;
+    for (const auto& destination : route.destinations) {
+        if (rest < destination.weight)
+            return destination.service;
+        rest -= destination.weight;
+    }
+    return route.destinations.back().service;
+}
+
+std::string hostName(std::string_view header)
+{
+    std::string name(header.substr(0, header.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    return name;
+}
+
+}
--- /dev/null
+++ b/src/runners/Registry.cpp
@@ -0,0 +1,175 @@
+#include "runners/Registry.h"
+
+#include "common/Hash.h"
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassford::runners {
+
+namespace {
+
+    bool isSameLifetime(const Entry& left, const Entry& right)
+    {
+        return left.service == right.service && left.ip == right.ip && left.port == right.port
+            && left.startedAtMs == right.startedAtMs;
+    }
+
+}
+
+Registry::Registry(const RegistryOptions& options)
+    : m_options(options)
+{
+}
+
+void Registry::apply(std::span<const Entry> entries, TimePoint now, const Removed& removed)
+{
+    std::map<std::string_view, const Entry*> listed;
+    for (const auto& entry : entries)
+        listed[entry.id] = &entry;
+    for (auto runner = m_runners.begin(); runner != m_runners.end();) {
+        const auto found = listed.find(runner->first);
+        if (found != listed.end() && isSameLifetime(runner->second->entry, *found->second)) {
+            ++runner;
+            continue;
+        }
+        removed(runner->first);
+        runner = m_runners.erase(runner);
+    }
+    for (const auto& entry : entries) {
+        auto& runner = m_runners[entry.id];
+        if (!runner) {
+            runner = std::make_unique<Runner>();
+            runner->identity = hash64(entry.id, entry.startedAtMs);
+            runner->nextSuspension = m_options.firstSuspension;
+            runner->seenSince = now;
+        }
+        runner->entry = entry;
+    }
+    m_byService.clear();
+    for (const auto& [id, runner] : m_runners)
+        m_byService[runner->entry.service].push_back(runner.get());
+}
+
+Runner* Registry::find(std::string_view id)
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() ? nullptr : found->second.get();
+}
+
+std::span<Runner* const> Registry::runnersOf(std::string_view service) const
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::span<Runner* const> {} : std::span<Runner* const>(found->second);
+}
+
+bool Registry::isUsable(const Runner& runner, TimePoint now) const
+{
+    if (runner.entry.isLeaving || now < runner.suspendedUntil)
+        return false;
+    return !runner.isOnTrial || runner.ownLoad == 0;
+}
+
+double Registry::load(const Runner& runner, TimePoint now) const
+{
+    const double known = runner.knownLoad();
+    if (now - runner.reportedAt > m_options.reportLifetime)
+        return known;
+    // The report counts all daemons' requests at one moment; own ones since then are added.
+    const double stated = runner.reported.running + runner.reported.waiting;
+    const double since = static_cast<double>(runner.ownLoad) - static_cast<double>(runner.ownAtReport);
+    return std::max(known, stated + since);
+}
+
+bool Registry::finished(Runner& runner, Observation observation, TimePoint now)
+{
+    runner.ownLoad -= runner.ownLoad > 0 ? 1 : 0;
+    return observe(runner, observation, now);
+}
+
+bool Registry::observe(Runner& runner, Observation observation, TimePoint now)
+{
+    const auto sample = [&](double failed) {
+        ++runner.samples;
+        runner.failureRate += m_options.failureWeight * (failed - runner.failureRate);
+    };
+    switch (observation) {
+    case Observation::Served:
+        sample(0.0);
+        runner.consecutiveLosses = 0;
+        if (std::exchange(runner.isOnTrial, false))
+            runner.nextSuspension = m_options.firstSuspension;
+        return false;
+    case Observation::Failed:
+        sample(1.0);
+        runner.consecutiveLosses = 0;
+        if (runner.samples < m_options.samplesForRate
+            || runner.failureRate < meanFailureRate(runner) + m_options.excessFailureRate)
+            return false;
+        return suspend(runner, now);
+    case Observation::ConnectionLost:
+    case Observation::Silent:
+        sample(1.0);
+        if (++runner.consecutiveLosses < m_options.lossesToSuspend && !runner.isOnTrial)
+            return false;
+        return suspend(runner, now);
+    case Observation::CannotConnect:
+        ++runner.consecutiveLosses;
+        return suspend(runner, now);
+    case Observation::Replaced:
+        // The listing will follow; until then nothing more goes to that address.
+        runner.suspendedUntil = now + m_options.longestSuspension;
+        return true;
+    case Observation::Declined:
+    case Observation::None:
+        return false;
+    }
+    return false;
+}
+
+void Registry::report(Runner& runner, const ReportedLoad& load, TimePoint now)
+{
+    runner.reported = load;
+    runner.reportedAt = now;
+    runner.ownAtReport = runner.ownLoad;
+}
+
+bool Registry::suspend(Runner& runner, TimePoint now)
+{
+    if (now < runner.suspendedUntil)
+        return false;
+    if (!maySuspend(runner, now))
+        return false;
+    runner.suspendedUntil = now + runner.nextSuspension;
+    runner.nextSuspension = std::min(runner.nextSuspension * 2, m_options.longestSuspension);
+    runner.isOnTrial = true;
+    return true;
+}
+
+bool Registry::maySuspend(const Runner& runner, TimePoint now) const
+{
+    const auto all = runnersOf(runner.entry.service);
+    std::size_t suspended = 1;
+    std::size_t present = 0;
+    for (const auto* other : all) {
+        if (other->entry.isLeaving)
+            continue;
+        ++present;
+        suspended += other != &runner && now < other->suspendedUntil ? 1 : 0;
+    }
+    return static_cast<double>(suspended) <= m_options.maximumSuspendedShare * static_cast<double>(present);
+}
+
+double Registry::meanFailureRate(const Runner& except) const
+{
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (const auto* runner : runnersOf(except.entry.service)) {
+        if (runner == &except || runner->entry.isLeaving)
+            continue;
+        sum += runner->failureRate;
+        ++count;
+    }
+    return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
+}
--- /dev/null
+++ b/src/runners/Registry.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "runners/Runner.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrassford::runners {
+
+/// @brief Durations and limits of failure detection.
+struct RegistryOptions {
+    /// Consecutive broken connections after which a runner is suspended; one alone may be the connection's fault.
+    std::uint32_t lossesToSuspend = 2;
+    Duration firstSuspension = std::chrono::milliseconds(500);
+    Duration longestSuspension = std::chrono::seconds(4);
+    /// Weight of the newest request in the failure rate.
+    double failureWeight = 0.2;
+    /// Failure rate above the mean of the service at which a runner is suspended.
+    double excessFailureRate = 0.3;
+    /// Requests before a failure rate means anything.
+    std::uint32_t samplesForRate = 4;
+    /// Largest share of a service's runners that may be suspended.
+    double maximumSuspendedShare = 0.5;
+    /// Age at which a reported load is no longer used.
+    Duration reportLifetime = std::chrono::milliseconds(1000);
+};
+
+/// @brief The runners of every service, with their lifetimes, load and health. No I/O.
+class Registry {
+public:
+    /// Called for each runner, or lifetime of one, that is gone.
+    using Removed = std::function<void(const std::string& id)>;
+
+    explicit Registry(const RegistryOptions& options = {});
+
+    /// @brief Takes the runners that the platform lists now; a changed lifetime or address begins a new runner.
+    void apply(std::span<const Entry> entries, TimePoint now, const Removed& removed);
+
+    Runner* find(std::string_view id);
+    /// @brief Runners of a service, leaving and suspended ones among them.
+    std::span<Runner* const> runnersOf(std::string_view service) const;
+    const std::map<std::string, std::unique_ptr<Runner>, std::less<>>& runners() const { return m_runners; }
+
+    /// @brief Whether new requests may go to a runner.
+    bool isUsable(const Runner& runner, TimePoint now) const;
+    /// @brief Requests under way at a runner: what daemons know of each other, or its own word where that is more.
+    double load(const Runner& runner, TimePoint now) const;
+
+    void dispatched(Runner& runner) { ++runner.ownLoad; }
+    /// @brief An attempt at a runner ended.
+    /// @return whether the runner was suspended by that
+    bool finished(Runner& runner, Observation observation, TimePoint now);
+    /// @brief Takes what an attempt showed without ending one, as when a peer tells of it.
+    bool observe(Runner& runner, Observation observation, TimePoint now);
+    void report(Runner& runner, const ReportedLoad& load, TimePoint now);
+    /// @brief Takes the sum of the other daemons' requests at a runner.
+    void setPeerLoad(Runner& runner, std::uint32_t load) { runner.peerLoad = load; }
+
+private:
+    bool suspend(Runner& runner, TimePoint now);
+    bool maySuspend(const Runner& runner, TimePoint now) const;
+    double meanFailureRate(const Runner& except) const;
+
+    RegistryOptions m_options;
+    std::map<std::string, std::unique_ptr<Runner>, std::less<>> m_runners;
+    std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
+};
+
+}
--- /dev/null
+++ b/src/runners/Runner.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "common/Time.h"
+#include <cstdint>
+#include <string>
+
+namespace eelgrassford::runners {
+
+/// @brief A runner as the platform lists it.
+struct Entry {
+    std::string id;
+    std::string service;
+    std::string ip;
+    std::uint16_t port = 0;
+    std::string dataCentre;
+    /// Requests that it runs at once.
+    std::uint32_t slots = 1;
+    /// It takes nothing new and will end.
+    bool isLeaving = false;
+    /// Start of this lifetime in Unix milliseconds, 0 if not stated; a runner may come back under its old id.
+    std::uint64_t startedAtMs = 0;
+    bool operator==(const Entry&) const = default;
+};
+
+/// @brief Load that a runner stated in a response.
+struct ReportedLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// @brief What an attempt showed of a runner.
+enum class Observation {
+    /// It answered with a success, or with a failure that is the request's own.
+    Served,
+    /// It answered 5xx for a request that it ran.
+    Failed,
+    /// It had no room.
+    Declined,
+    /// The connection broke under a request.
+    ConnectionLost,
+    /// No connection could be established.
+    CannotConnect,
+    /// Nothing arrived for too long.
+    Silent,
+    /// Another lifetime or another runner has its address.
+    Replaced,
+    /// Nothing was learnt, as when the caller left.
+    None,
+};
+
+/// @brief A runner with what this daemon knows of its load and health.
+struct Runner {
+    Entry entry;
+    /// Hash of id and lifetime, equal on every daemon.
+    std::uint64_t identity = 0;
+    /// Requests that this daemon has under way there.
+    std::uint32_t ownLoad = 0;
+    /// Requests that other daemons say they have under way there.
+    std::uint32_t peerLoad = 0;
+    ReportedLoad reported;
+    TimePoint reportedAt {};
+    /// Own requests under way when the load was reported.
+    std::uint32_t ownAtReport = 0;
+
+    std::uint32_t consecutiveLosses = 0;
+    /// Exponentially weighted share of requests that it failed.
+    double failureRate = 0.0;
+    std::uint32_t samples = 0;
+    TimePoint suspendedUntil {};
+    Duration nextSuspension {};
+    /// After a suspension one request at a time shows whether it serves again.
+    bool isOnTrial = false;
+    TimePoint seenSince {};
+    /// The platform no longer lists it, but that may be an effect of its outage.
+    bool isLapsed = false;
+
+    std::uint32_t knownLoad() const { return ownLoad + peerLoad; }
+};
+
+}
--- /dev/null
+++ b/src/store/Mirror.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "store/Protocol.h"
+#include <functional>
+#include <map>
+
+namespace eelgrassford::store {
+
+/// @brief What is to be asked of the store next.
+struct Query {
+    enum class Kind { List, Watch };
+    Kind kind = Kind::List;
+    std::string target;
+    Duration timeout {};
+};
+
+/// @brief Keeps a copy of the published items, and how fresh it is. No I/O.
+///
+/// One query is under way at a time: pages until the copy is whole, then watches. What is known stays through an
+/// outage. Items that are missing after an outage may only have lapsed with it; they are kept for a grace time.
+class Mirror {
+public:
+    struct Options {
+        /// Time that a watch waits at the store.
+        Duration watchTime = std::chrono::milliseconds(1500);
+        /// Time beyond which a response is no longer awaited.
+        Duration responseTime = std::chrono::milliseconds(1000);
+        Duration firstRetry = std::chrono::milliseconds(100);
+        Duration longestRetry = std::chrono::milliseconds(1000);
+        /// Silence of the store that counts as an outage.
+        Duration outage = std::chrono::milliseconds(2500);
+        /// Time after an outage in which living entries are written again; the platform states about two seconds.
+        Duration lapseGrace = std::chrono::milliseconds(2500);
+    };
+    /// Uniform in [0, 1), for the jitter of retries.
+    using RandomSource = std::function<double()>;
+
+    Mirror(const Protocol& protocol, const Options& options, RandomSource random);
+
+    /// @brief The next query, if one is due and none is under way.
+    std::optional<Query> next(TimePoint now);
+    /// @brief Takes the response to the query under way.
+    /// @return whether any item changed
+    bool respond(std::uint16_t status, std::string_view body, TimePoint now);
+    /// @brief The query under way brought no response.
+    void fail(std::string detail, TimePoint now);
+    /// @brief Gives up the query under way, as after the process was suspended.
+    void restart(TimePoint now);
+    /// @brief Drops items whose grace time is over.
+    /// @return whether any item changed
+    bool tick(TimePoint now);
+
+    const std::map<std::string, Item>& items() const { return m_items; }
+    /// @brief Whether the items were listed once.
+    bool isComplete() const { return m_isComplete; }
+    /// @brief Latest time at which the items were known to be current.
+    std::optional<TimePoint> provenAt() const { return m_provenAt; }
+    std::uint64_t queries() const { return m_queries; }
+    /// @brief Why the last query failed; empty if it succeeded.
+    const std::string& failure() const { return m_failure; }
+
+private:
+    bool onPage(std::string_view body, TimePoint now);
+    bool onChanges(std::string_view body, TimePoint now);
+    bool store(const Item& item);
+    bool remove(const std::string& key, TimePoint now);
+    bool finishListing(TimePoint now);
+    void succeed(TimePoint provenAt, TimePoint now);
+
+    const Protocol& m_protocol;
+    Options m_options;
+    RandomSource m_random;
+    std::map<std::string, Item> m_items;
+    /// Items that are missing after an outage, with the time until which they are kept.
+    std::map<std::string, TimePoint> m_lapsed;
+    /// Items of the listing under way.
+    std::map<std::string, Item> m_listed;
+    std::string m_lastListed;
+    std::uint64_t m_listRevision = 0;
+    std::uint64_t m_revision = 0;
+    bool m_isComplete = false;
+    bool m_isListing = true;
+    bool m_isUnderWay = false;
+    TimePoint m_sentAt {};
+    TimePoint m_nextAt {};
+    std::optional<TimePoint> m_lastSuccessAt;
+    std::optional<TimePoint> m_provenAt;
+    TimePoint m_graceUntil {};
+    Duration m_retry {};
+    std::uint64_t m_queries = 0;
+    std::string m_failure;
+};
+
+}
--- a/src/upstream/EventStream.cpp
+++ b/src/upstream/EventStream.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     constexpr std::string_view terminator = "\n\n";
-    constexpr std::string_view idField = "id: ";
+    constexpr std::string_view idField = "id:";
     constexpr std::string_view endMark = "data: [DONE]";
 
     void readLine(std::string_view line, StreamEvent& event)
@@ -17,7 +17,9 @@
         if (!line.starts_with(idField))
             return;
         std::uint64_t offset = 0;
-        const auto digits = line.substr(idField.size());
+        auto digits = line.substr(idField.size());
+        if (digits.starts_with(' '))
+            digits.remove_prefix(1);
         const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), offset);
         if (error == std::errc {} && end == digits.data() + digits.size())
             event.offset = offset;
