Share load, health and crashes among daemons; retry the store quickly; refuse what a stop would cut

(3) each daemon saw a seventh of the load, so its mean and bound were too low and prompts spilled.

Adds UDP digests between daemons (members from stale seeds, requests under way and recent failures by runner, suspected crashes, a vouched proof of contact), quick queries after a failure, and true refusals for what a stop would cut.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -12,12 +12,23 @@
 
 namespace {
 
-    constexpr auto tickInterval = std::chrono::milliseconds(50);
+    constexpr auto tickInterval = std::chrono::milliseconds(75);
     constexpr Duration suspendedThreshold = std::chrono::milliseconds(1500);
     /// Settings may change without a signal.
     constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
+    /// IP addresses of the seeds; their ports belong to another interface.
+    std::vector<std::string> seedIps(const RelaySettings& settings)
+    {
+        std::vector<std::string> result;
+        for (const auto& seed : settings.seeds) {
+            if (const auto address = Address::parse(seed))
+                result.push_back(address->ip);
+        }
+        return result;
+    }
+
     std::string readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -45,8 +56,18 @@
           gateway::AdminServer::Sources { [this] { return isReady(); }, [this] { return m_metrics.serialize(); },
               [this] { return statusJson(); } },
           settings.readinessPath)
+    , m_incarnation(m_random())
+    , m_members(settings.ip, m_incarnation)
+    , m_fleet(m_context, settings.ip, settings.fleetPort, [this](const fleet::Digest& digest) { onDigest(digest); })
     , m_lastTick(currentTime())
 {
+    m_members.addSeeds(seedIps(settings), m_lastTick);
+    m_traffic.setStateListener([this](auto states, auto crashes) {
+        asio::post(m_context, [this, states = std::move(states), crashes = std::move(crashes)]() mutable {
+            m_states = std::move(states);
+            m_crashes = std::move(crashes);
+        });
+    });
 }
 
 void ControlLoop::run()
@@ -73,10 +94,13 @@
     if (now - m_lastTick > suspendedThreshold) {
         m_client.cancel(m_call);
         m_mirror.restart(now);
+        m_fleet.dropPending();
     }
     m_lastTick = now;
     if (m_mirror.tick(now))
         publish();
+    hearPeers(now);
+    tellPeers(now, false);
     noteContact(now);
     if (const auto next = m_mirror.next(now))
         query(*next);
@@ -124,12 +148,61 @@
             { { "detail", m_mirror.failure() },
                 { "proof_age_ms", provenAt ? toSeconds(now - *provenAt) * 1000.0 : -1.0 } });
     }
-    if (m_mirror.provenAt() != m_provenAt) {
-        m_provenAt = m_mirror.provenAt();
-        m_traffic.proveContact(*m_provenAt);
+    auto provenAt = m_mirror.provenAt();
+    const auto vouched = m_members.vouchedProof(m_configurationRevision, now);
+    if (vouched && (!provenAt || *vouched > *provenAt))
+        provenAt = vouched;
+    if (provenAt && (!m_provenAt || *provenAt > *m_provenAt)) {
+        m_provenAt = provenAt;
+        m_traffic.proveContact(*provenAt);
     }
 }
 
+void ControlLoop::onDigest(const fleet::Digest& digest)
+{
+    if (digest.region != m_settings.region || !m_members.receive(digest, currentTime()))
+        return;
+    if (!digest.crashes.empty())
+        m_traffic.learnCrashes(digest.crashes);
+}
+
+void ControlLoop::tellPeers(TimePoint now, bool isLeaving)
+{
+    const auto due = m_members.due(now);
+    if (due.empty())
+        return;
+    fleet::Digest digest;
+    digest.host = m_settings.host;
+    digest.incarnation = m_incarnation;
+    digest.sequence = ++m_sequence;
+    digest.ip = m_settings.ip;
+    digest.region = m_settings.region;
+    digest.configurationRevision = m_configurationRevision;
+    // Only an own proof is vouched for, so that daemons never vouch for each other in a circle.
+    if (const auto provenAt = m_mirror.provenAt())
+        digest.proofAgeMs = std::chrono::ceil<std::chrono::milliseconds>(now - *provenAt).count();
+    digest.members = m_members.nameSome();
+    digest.runners = m_states;
+    digest.crashes = m_crashes;
+    digest.isLeaving = isLeaving;
+    m_members.recordSent(digest.sequence, now);
+    const auto bytes = fleet::encode(digest);
+    for (const auto& ip : due)
+        m_fleet.send(ip, bytes);
+}
+
+void ControlLoop::hearPeers(TimePoint now)
+{
+    m_traffic.setPeerWord(m_members.summarize(now));
+    const auto heard = m_members.heard(now);
+    if (heard == m_heardPeers)
+        return;
+    telemetry::logInfo("members-changed",
+        { { "before", static_cast<std::uint64_t>(m_heardPeers) }, { "heard", static_cast<std::uint64_t>(heard) },
+            { "known", static_cast<std::uint64_t>(m_members.known()) } });
+    m_heardPeers = heard;
+}
+
 void ControlLoop::publish()
 {
     for (const auto& [key, item] : m_mirror.items()) {
@@ -193,6 +266,7 @@
         return;
     }
     m_settings = *settings;
+    m_members.addSeeds(seedIps(m_settings), currentTime());
     m_traffic.setSettings(m_settings);
     telemetry::logInfo("reload", { { "trigger", trigger }, { "host", m_settings.host } });
 }
@@ -215,7 +289,12 @@
     if (std::exchange(m_isStopping, true))
         return;
     telemetry::logInfo("stop-begin", {});
-    m_traffic.beginStop([this] { asio::post(m_context, [this] { m_context.stop(); }); });
+    m_traffic.beginStop([this] {
+        asio::post(m_context, [this] {
+            tellPeers(currentTime(), true);
+            m_context.stop();
+        });
+    });
 }
 
 bool ControlLoop::isReady() const
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "edge/DocumentCodec.h"
+#include "edge/FleetSocket.h"
 #include "edge/RelaySettings.h"
 #include "edge/TrafficLoop.h"
+#include "fleet/Members.h"
 #include "gateway/AdminServer.h"
 #include "store/Mirror.h"
 #include "upstream/CurlClient.h"
@@ -27,6 +29,9 @@
     void publishConfiguration(const store::Item& item);
     void publishRunners();
     void noteContact(TimePoint now);
+    void onDigest(const fleet::Digest& digest);
+    void tellPeers(TimePoint now, bool isLeaving);
+    void hearPeers(TimePoint now);
     void reloadSettings(const char* trigger);
     void waitForSignal();
     void beginStop();
@@ -46,10 +51,18 @@
     upstream::CurlClient m_client;
     store::Mirror m_mirror;
     gateway::AdminServer m_admin;
+    std::uint64_t m_incarnation;
+    fleet::Members m_members;
+    FleetSocket m_fleet;
+    std::uint64_t m_sequence = 0;
+    std::vector<fleet::RunnerState> m_states;
+    std::vector<dispatch::CrashRecord> m_crashes;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
     std::vector<runners::Entry> m_runners;
+    /// Newest proof that the configuration is current, own or vouched for.
     std::optional<TimePoint> m_provenAt;
+    std::size_t m_heardPeers = 0;
     upstream::CallId m_call = 0;
     TimePoint m_lastTick {};
     TimePoint m_nextSettingsCheckAt {};
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-    constexpr auto tickInterval = std::chrono::milliseconds(250);
+    constexpr auto tickInterval = std::chrono::milliseconds(100);
+    constexpr Duration sweepInterval = std::chrono::milliseconds(300);
     /// A longer gap between ticks means that the process was suspended.
     constexpr Duration suspendedThreshold = std::chrono::milliseconds(1500);
     /// Time in which the balancer is sure to have seen two failed readiness checks, one a second.
@@ -84,11 +85,22 @@
     asio::post(m_context, [this, provenAt] { m_router.proveContact(provenAt); });
 }
 
+void TrafficLoop::setPeerWord(std::unordered_map<std::uint64_t, fleet::RunnerSummary> summaries)
+{
+    asio::post(m_context, [this, summaries = std::move(summaries)] { m_router.setPeerWord(summaries); });
+}
+
+void TrafficLoop::learnCrashes(std::vector<dispatch::CrashRecord> records)
+{
+    asio::post(m_context, [this, records = std::move(records)] { m_router.learnCrashes(records); });
+}
+
 void TrafficLoop::beginStop(std::function<void()> ended)
 {
     asio::post(m_context, [this, ended = std::move(ended)]() mutable {
         m_server.closeAfterResponses();
         m_stopAt = currentTime();
+        m_router.beginStop(*m_stopAt + m_settings.grace - endMargin);
         m_ended = std::move(ended);
     });
 }
@@ -109,8 +121,13 @@
     if (now - m_lastTick > suspendedThreshold)
         m_router.wakeUp(now);
     m_lastTick = now;
-    m_server.sweep(now);
-    m_router.sweep(now);
+    if (now >= m_nextSweepAt) {
+        m_nextSweepAt = now + sweepInterval;
+        m_server.sweep(now);
+        m_router.sweep(now);
+    }
+    if (m_listener)
+        m_listener(m_router.runnerStates(now), m_router.crashRecords());
     if (m_stopAt && m_ended)
         tickStop(now);
 }
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -18,6 +18,12 @@
     void setRunners(std::vector<runners::Entry> entries);
     void setSettings(const RelaySettings& settings);
     void proveContact(TimePoint provenAt);
+    /// @brief What this loop tells the control loop several times a second, on its own thread.
+    using StateListener = std::function<void(std::vector<fleet::RunnerState>, std::vector<dispatch::CrashRecord>)>;
+    /// @brief Must be set before run().
+    void setStateListener(StateListener listener) { m_listener = std::move(listener); }
+    void setPeerWord(std::unordered_map<std::uint64_t, fleet::RunnerSummary> summaries);
+    void learnCrashes(std::vector<dispatch::CrashRecord> records);
     /// @brief Begins a graceful stop; @a ended runs on this loop's thread when nothing is under way or time is over.
     void beginStop(std::function<void()> ended);
 
@@ -31,7 +37,9 @@
     asio::steady_timer m_timer;
     proxy::Router m_router;
     gateway::StreamServer m_server;
+    StateListener m_listener;
     TimePoint m_lastTick {};
+    TimePoint m_nextSweepAt {};
     std::optional<TimePoint> m_stopAt;
     std::function<void()> m_ended;
 };
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -1,5 +1,6 @@
 #include "proxy/Router.h"
 
+#include "common/Hash.h"
 #include "proxy/Session.h"
 #include "telemetry/DecisionLog.h"
 
@@ -13,6 +14,19 @@
     constexpr std::uint16_t statusUnavailable = 503;
     /// Mean time after which a caller is asked to come back while this daemon knows too little.
     constexpr Duration retryAfterNotReady = std::chrono::milliseconds(500);
+    /// Time after which a caller is asked to come back, to another daemon, while this one stops.
+    constexpr Duration retryAfterStopping = std::chrono::milliseconds(50);
+    /// Time after which a request that crashes runners may be tried again.
+    constexpr Duration retryAfterQuarantine = std::chrono::minutes(10);
+    /// Longest that a stream is expected to take; nine in ten of the users' streams end within it.
+    constexpr Duration expectedStreamTime = std::chrono::milliseconds(4500);
+    constexpr Duration expectedRequestTime = std::chrono::milliseconds(1500);
+    constexpr double tenths = 10.0;
+
+    dispatch::RequestDigest digestOf(const gateway::HttpRequest& request, const RequestFacts& facts)
+    {
+        return hash64(request.body, hash64(request.target, hash64(facts.host, hash64(facts.credential))));
+    }
 
 }
 
@@ -39,7 +53,10 @@
         refuse(*responder, {}, { statusBadRequest, "malformed-request", {} });
         return;
     }
+    const auto digest = digestOf(request, *facts);
     auto admission = admit(request, *facts, now);
+    if (!admission.refusal && m_crashes.isQuarantined(digest))
+        admission.refusal = Refusal { statusUnavailable, "crashes-runners", retryAfterQuarantine };
     if (admission.refusal) {
         telemetry::logInfo("request-refused",
             { { "request", facts->attemptId }, { "reason", admission.refusal->reason },
@@ -59,6 +76,7 @@
     start.deadline = now + std::min(start.route->timeout, facts->patience.value_or(start.route->timeout));
     start.request = std::move(request);
     start.facts = std::move(*facts);
+    start.digest = digest;
     budgetOf(start.service, now).recordFirst(now);
     std::make_shared<Session>(*this, std::move(start), responder)->run();
 }
@@ -75,7 +93,8 @@
         result.refusal = Refusal { statusNotFound, "unknown-route", {} };
         return result;
     }
-    if (result.route->isPublic || !m_routes->hasOrganisations())
+    result.refusal = refuseWhileStopping(*result.route, now);
+    if (result.refusal || result.route->isPublic || !m_routes->hasOrganisations())
         return result;
     // Credentials may have been withdrawn since this daemon last knew the configuration to be current.
     if (!isCredentialLeaseValid(now)) {
@@ -91,6 +110,69 @@
     return result;
 }
 
+std::optional<Router::Refusal> Router::refuseWhileStopping(const routing::Route& route, TimePoint now) const
+{
+    if (!m_stopBy)
+        return std::nullopt;
+    const auto expected
+        = route.kind == routing::RequestKind::Stream ? expectedStreamTime : std::min(route.timeout, expectedRequestTime);
+    if (now + expected < *m_stopBy)
+        return std::nullopt;
+    return Refusal { statusUnavailable, "stopping", retryAfterStopping };
+}
+
+void Router::examine(const std::string& id, dispatch::RequestDigest request)
+{
+    const auto* runner = m_registry.find(id);
+    if (!runner)
+        return;
+    poolOf(*runner).probe([this, id, request](bool isReachable) {
+        auto* suspect = m_registry.find(id);
+        if (isReachable || !suspect)
+            return;
+        const auto time = m_clock();
+        m_registry.observe(*suspect, runners::Observation::CannotConnect, time);
+        m_crashes.recordCrash(request, suspect->identity, time);
+        telemetry::logWarning("runner-dead",
+            { { "runner", id }, { "suspect", toHex(request) },
+                { "quarantined", m_crashes.isQuarantined(request) } });
+    });
+}
+
+std::vector<fleet::RunnerState> Router::runnerStates(TimePoint now) const
+{
+    std::vector<fleet::RunnerState> result;
+    for (const auto& [id, runner] : m_registry.runners()) {
+        fleet::RunnerState state;
+        state.runner = runner->identity;
+        state.underWay = runner->ownLoad;
+        const auto [served, failed] = m_registry.recent(*runner, now);
+        state.servedTenths = static_cast<std::uint32_t>(served * tenths);
+        state.failedTenths = static_cast<std::uint32_t>(failed * tenths);
+        if (now < runner->suspendedUntil)
+            state.suspendedMs = static_cast<std::uint32_t>(toSeconds(runner->suspendedUntil - now) * 1000.0);
+        if (state.underWay > 0 || state.servedTenths > 0 || state.failedTenths > 0 || state.suspendedMs > 0)
+            result.push_back(state);
+    }
+    return result;
+}
+
+void Router::setPeerWord(const std::unordered_map<std::uint64_t, fleet::RunnerSummary>& summaries)
+{
+    for (const auto& [id, runner] : m_registry.runners()) {
+        const auto found = summaries.find(runner->identity);
+        const auto summary = found == summaries.end() ? fleet::RunnerSummary {} : found->second;
+        m_registry.setPeerWord(*runner, { summary.underWay, summary.served, summary.failed, summary.suspendedBy });
+    }
+}
+
+void Router::learnCrashes(std::span<const dispatch::CrashRecord> records)
+{
+    const auto time = m_clock();
+    for (const auto& record : records)
+        m_crashes.learn(record, time);
+}
+
 void Router::refuse(gateway::Responder& responder, const RequestFacts& facts, const Refusal& refusal)
 {
     gateway::HttpResponse response;
@@ -146,6 +228,7 @@
 
 void Router::sweep(TimePoint now)
 {
+    m_crashes.tick(now);
     for (auto& [id, pool] : m_pools)
         pool->sweep(now);
 }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "dispatch/QuarantineRegistry.h"
+#include "dispatch/CrashRegistry.h"
 #include "dispatch/WindowedRetryBudget.h"
+#include "fleet/Members.h"
 #include "gateway/Http.h"
 #include "proxy/Codec.h"
 #include "proxy/PromptIndex.h"
@@ -52,6 +53,14 @@
     void setRunners(std::span<const runners::Entry> entries);
     /// @brief Takes the newest time at which the configuration in force was known to be current.
     void proveContact(TimePoint provenAt);
+    /// @brief What this daemon knows of the runners, for the other daemons.
+    std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
+    std::vector<dispatch::CrashRecord> crashRecords() const { return m_crashes.records(); }
+    /// @brief Takes what the other daemons know.
+    void setPeerWord(const std::unordered_map<std::uint64_t, fleet::RunnerSummary>& summaries);
+    void learnCrashes(std::span<const dispatch::CrashRecord> records);
+    /// @brief From now on only requests that surely end before @a end are taken.
+    void beginStop(TimePoint end) { m_stopBy = end; }
     /// @brief Closes idle connections that are due; call a few times a second.
     void sweep(TimePoint now);
     /// @brief The process was suspended: kept connections may be dead.
@@ -79,6 +88,9 @@
     };
 
     Admission admit(const gateway::HttpRequest& request, const RequestFacts& facts, TimePoint now) const;
+    std::optional<Refusal> refuseWhileStopping(const routing::Route& route, TimePoint now) const;
+    /// Finds out whether a runner that broke a connection is dead, and whether the request may be the cause.
+    void examine(const std::string& runner, dispatch::RequestDigest request);
     void refuse(gateway::Responder& responder, const RequestFacts& facts, const Refusal& refusal);
     Duration jitter(Duration mean);
     upstream::ConnectionPool& poolOf(const runners::Runner& runner);
@@ -97,6 +109,8 @@
     std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_pools;
     std::map<std::string, dispatch::WindowedRetryBudget> m_budgets;
     PromptIndex m_prompts;
+    dispatch::CrashRegistry m_crashes;
+    std::optional<TimePoint> m_stopBy;
     std::optional<TimePoint> m_provenAt;
     TimePoint m_startedAt;
     std::size_t m_underWay = 0;
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -272,7 +272,7 @@
         return;
     telemetry::logWarning("runner-suspended",
         { { "runner", attempt->runner }, { "request", m_start.facts.attemptId },
-            { "losses", runner->consecutiveLosses }, { "failure_rate", runner->failureRate },
+            { "losses", runner->consecutiveLosses }, { "failure_rate", runner->failureRate() },
             { "for_ms", milliseconds(runner->suspendedUntil - now) } });
 }
 
@@ -282,6 +282,8 @@
     const auto runner = m_attempt->runner;
     const auto elapsed = now - m_attempt->sentAt;
     endAttempt(observation, now);
+    if (observation == Observation::ConnectionLost)
+        m_router.examine(runner, m_start.digest);
     const auto step = m_plan.fail(failure, m_hasBegun, now, budget(now));
     m_router.m_metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     telemetry::logInfo("attempt-failed",
@@ -410,6 +412,8 @@
     m_timer.cancel();
     const auto now = m_router.now();
     m_router.m_metrics.countOutcome(std::string(outcome));
+    if (outcome == "answered")
+        m_router.m_crashes.recordServed(m_start.digest);
     if (m_firstByteAt)
         m_router.m_metrics.observeFirstByte(toSeconds(*m_firstByteAt - m_start.arrivedAt));
     telemetry::logInfo("request",
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -17,6 +17,8 @@
         const routing::Route* route = nullptr;
         std::string service;
         std::string organisation;
+        /// Digest of caller, target and body, equal on every daemon.
+        dispatch::RequestDigest digest = 0;
         TimePoint arrivedAt {};
         TimePoint deadline {};
     };
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -20,7 +20,7 @@
     double cost(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
         const double distance = runner.entry.dataCentre == request.dataCentre ? 0.0 : distancePenalty;
-        return (registry.load(runner, now) + distance + failurePenalty * runner.failureRate)
+        return (registry.load(runner, now) + distance + failurePenalty * runner.failureRate())
             / std::max<double>(1.0, runner.entry.slots);
     }
 
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Hash.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace eelgrassford::runners {
@@ -66,7 +67,11 @@
 {
     if (runner.entry.isLeaving || now < runner.suspendedUntil)
         return false;
-    return !runner.isOnTrial || runner.ownLoad == 0;
+    if (runner.isOnTrial)
+        return runner.ownLoad == 0;
+    // One daemon may be cut off from a runner by itself; two, or one and an own loss, are believed.
+    const auto accusers = runner.suspendedByPeers + (runner.consecutiveLosses > 0 ? 1 : 0);
+    return runner.suspendedByPeers == 0 || accusers < 2 || now - runner.servedAt < m_options.ownWord;
 }
 
 double Registry::load(const Runner& runner, TimePoint now) const
@@ -86,35 +91,46 @@
     return observe(runner, observation, now);
 }
 
+std::pair<double, double> Registry::recent(const Runner& runner, TimePoint now) const
+{
+    const auto factor = std::exp2(-toSeconds(now - runner.decayedAt) / toSeconds(m_options.halfLife));
+    return { runner.served * factor, runner.failed * factor };
+}
+
+void Registry::count(Runner& runner, bool hasFailed, TimePoint now)
+{
+    const auto [served, failed] = recent(runner, now);
+    runner.decayedAt = now;
+    runner.served = served + (hasFailed ? 0.0 : 1.0);
+    runner.failed = failed + (hasFailed ? 1.0 : 0.0);
+}
+
 bool Registry::observe(Runner& runner, Observation observation, TimePoint now)
 {
-    const auto sample = [&](double failed) {
-        ++runner.samples;
-        runner.failureRate += m_options.failureWeight * (failed - runner.failureRate);
-    };
     switch (observation) {
     case Observation::Served:
-        sample(0.0);
+        count(runner, false, now);
+        runner.servedAt = now;
         runner.consecutiveLosses = 0;
         if (std::exchange(runner.isOnTrial, false))
             runner.nextSuspension = m_options.firstSuspension;
         return false;
     case Observation::Failed:
-        sample(1.0);
+        count(runner, true, now);
         runner.consecutiveLosses = 0;
-        if (runner.samples < m_options.samplesForRate
-            || runner.failureRate < meanFailureRate(runner) + m_options.excessFailureRate)
+        if (runner.samples() < m_options.samplesForRate
+            || runner.failureRate() < meanFailureRate(runner) + m_options.excessFailureRate)
             return false;
-        return suspend(runner, now);
+        return suspend(runner, m_options.failureSuspension, now);
     case Observation::ConnectionLost:
     case Observation::Silent:
-        sample(1.0);
+        count(runner, true, now);
         if (++runner.consecutiveLosses < m_options.lossesToSuspend && !runner.isOnTrial)
             return false;
-        return suspend(runner, now);
+        return suspendForLosses(runner, now);
     case Observation::CannotConnect:
         ++runner.consecutiveLosses;
-        return suspend(runner, now);
+        return suspendForLosses(runner, now);
     case Observation::Replaced:
         // The listing will follow; until then nothing more goes to that address.
         runner.suspendedUntil = now + m_options.longestSuspension;
@@ -126,6 +142,14 @@
     return false;
 }
 
+void Registry::setPeerWord(Runner& runner, const PeerWord& word)
+{
+    runner.peerLoad = word.underWay;
+    runner.peerServed = word.served;
+    runner.peerFailed = word.failed;
+    runner.suspendedByPeers = word.suspendedBy;
+}
+
 void Registry::report(Runner& runner, const ReportedLoad& load, TimePoint now)
 {
     runner.reported = load;
@@ -133,14 +157,19 @@
     runner.ownAtReport = runner.ownLoad;
 }
 
-bool Registry::suspend(Runner& runner, TimePoint now)
+bool Registry::suspendForLosses(Runner& runner, TimePoint now)
 {
-    if (now < runner.suspendedUntil)
-        return false;
-    if (!maySuspend(runner, now))
+    if (!suspend(runner, runner.nextSuspension, now))
         return false;
-    runner.suspendedUntil = now + runner.nextSuspension;
     runner.nextSuspension = std::min(runner.nextSuspension * 2, m_options.longestSuspension);
+    return true;
+}
+
+bool Registry::suspend(Runner& runner, Duration time, TimePoint now)
+{
+    if (now < runner.suspendedUntil || !maySuspend(runner, now))
+        return false;
+    runner.suspendedUntil = now + time;
     runner.isOnTrial = true;
     return true;
 }
@@ -166,7 +195,7 @@
     for (const auto* runner : runnersOf(except.entry.service)) {
         if (runner == &except || runner->entry.isLeaving)
             continue;
-        sum += runner->failureRate;
+        sum += runner->failureRate();
         ++count;
     }
     return count == 0 ? 0.0 : sum / static_cast<double>(count);
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -17,12 +17,15 @@
     std::uint32_t lossesToSuspend = 2;
     Duration firstSuspension = std::chrono::milliseconds(500);
     Duration longestSuspension = std::chrono::seconds(4);
-    /// Weight of the newest request in the failure rate.
-    double failureWeight = 0.2;
+    /// Time in which what is counted of a runner halves.
+    Duration halfLife = std::chrono::seconds(3);
     /// Failure rate above the mean of the service at which a runner is suspended.
-    double excessFailureRate = 0.3;
+    double excessFailureRate = 0.25;
     /// Requests before a failure rate means anything.
-    std::uint32_t samplesForRate = 4;
+    double samplesForRate = 6.0;
+    Duration failureSuspension = std::chrono::seconds(3);
+    /// A runner that served this lately is not avoided on the word of others.
+    Duration ownWord = std::chrono::milliseconds(300);
     /// Largest share of a service's runners that may be suspended.
     double maximumSuspendedShare = 0.5;
     /// Age at which a reported load is no longer used.
@@ -57,11 +60,21 @@
     /// @brief Takes what an attempt showed without ending one, as when a peer tells of it.
     bool observe(Runner& runner, Observation observation, TimePoint now);
     void report(Runner& runner, const ReportedLoad& load, TimePoint now);
-    /// @brief Takes the sum of the other daemons' requests at a runner.
-    void setPeerLoad(Runner& runner, std::uint32_t load) { runner.peerLoad = load; }
+    /// @brief What the other daemons together say of a runner.
+    struct PeerWord {
+        std::uint32_t underWay = 0;
+        double served = 0.0;
+        double failed = 0.0;
+        std::uint32_t suspendedBy = 0;
+    };
+    /// @brief Requests that a runner lately served and failed here.
+    std::pair<double, double> recent(const Runner& runner, TimePoint now) const;
+    void setPeerWord(Runner& runner, const PeerWord& word);
 
 private:
-    bool suspend(Runner& runner, TimePoint now);
+    void count(Runner& runner, bool hasFailed, TimePoint now);
+    bool suspend(Runner& runner, Duration time, TimePoint now);
+    bool suspendForLosses(Runner& runner, TimePoint now);
     bool maySuspend(const Runner& runner, TimePoint now) const;
     double meanFailureRate(const Runner& except) const;
 
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -64,18 +64,24 @@
     std::uint32_t ownAtReport = 0;
 
     std::uint32_t consecutiveLosses = 0;
-    /// Exponentially weighted share of requests that it failed.
-    double failureRate = 0.0;
-    std::uint32_t samples = 0;
+    /// Requests that it served and failed here, older ones counting less.
+    double served = 0.0;
+    double failed = 0.0;
+    TimePoint decayedAt {};
+    TimePoint servedAt {};
+    /// The same as other daemons count them, and how many of them avoid it now.
+    double peerServed = 0.0;
+    double peerFailed = 0.0;
+    std::uint32_t suspendedByPeers = 0;
     TimePoint suspendedUntil {};
     Duration nextSuspension {};
     /// After a suspension one request at a time shows whether it serves again.
     bool isOnTrial = false;
     TimePoint seenSince {};
-    /// The platform no longer lists it, but that may be an effect of its outage.
-    bool isLapsed = false;
 
     std::uint32_t knownLoad() const { return ownLoad + peerLoad; }
+    double samples() const { return served + failed + peerServed + peerFailed; }
+    double failureRate() const { return samples() > 0.0 ? (failed + peerFailed) / samples() : 0.0; }
 };
 
 }
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -9,6 +9,7 @@
     constexpr std::uint16_t statusOk = 200;
     /// A watch that returns this much before its time is taken to have returned at once.
     constexpr Duration watchTolerance = std::chrono::milliseconds(20);
+    constexpr std::uint32_t mostDoublings = 8;
 
 }
 
@@ -27,10 +28,17 @@
     m_isUnderWay = true;
     m_sentAt = now;
     ++m_queries;
+    auto responseTime = m_options.responseTime;
+    if (m_failures > 0) {
+        const auto doublings = std::min(m_failures - 1, mostDoublings);
+        responseTime = std::min(
+            m_options.firstResponseTime * (std::int64_t { 1 } << doublings), m_options.longestResponseTime);
+    }
     if (m_isListing)
-        return Query { Query::Kind::List, m_protocol.listTarget(m_lastListed), m_options.responseTime };
-    return Query { Query::Kind::Watch, m_protocol.watchTarget(m_revision, m_options.watchTime),
-        m_options.watchTime + m_options.responseTime };
+        return Query { Query::Kind::List, m_protocol.listTarget(m_lastListed), responseTime };
+    // After a failure the store is asked for what it has now: a long wait would hide that it is back.
+    m_waitTime = m_failures > 0 ? Duration::zero() : m_options.watchTime;
+    return Query { Query::Kind::Watch, m_protocol.watchTarget(m_revision, m_waitTime), m_waitTime + responseTime };
 }
 
 bool Mirror::respond(std::uint16_t status, std::string_view body, TimePoint now)
@@ -57,6 +65,7 @@
         return;
     m_isUnderWay = false;
     m_failure = std::move(detail);
+    ++m_failures;
     m_listed.clear();
     m_lastListed.clear();
     m_nextAt = now + fromSeconds(toSeconds(m_retry) * (0.5 + m_random()));
@@ -148,8 +157,8 @@
         hasChanged = (change.isRemoved ? remove(change.item.key, now) : store(change.item)) || hasChanged;
     m_revision = std::max(m_revision, changes->storeRevision);
     // A watch that waited its whole time and found nothing proves that nothing had changed by then.
-    const bool hasWaited = changes->changes.empty() && now - m_sentAt + watchTolerance >= m_options.watchTime;
-    succeed(hasWaited ? std::min(now, m_sentAt + m_options.watchTime) : m_sentAt, now);
+    const bool hasWaited = changes->changes.empty() && now - m_sentAt + watchTolerance >= m_waitTime;
+    succeed(hasWaited ? std::min(now, m_sentAt + m_waitTime) : m_sentAt, now);
     return hasChanged;
 }
 
@@ -180,6 +189,7 @@
 void Mirror::succeed(TimePoint provenAt, TimePoint now)
 {
     m_failure.clear();
+    m_failures = 0;
     m_retry = m_options.firstRetry;
     m_nextAt = now;
     m_lastSuccessAt = now;
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -24,9 +24,13 @@
         /// Time that a watch waits at the store.
         Duration watchTime = std::chrono::milliseconds(1500);
         /// Time beyond which a response is no longer awaited.
-        Duration responseTime = std::chrono::milliseconds(1000);
+        Duration responseTime = std::chrono::milliseconds(800);
+        /// The same for the first query after a failure, which does not wait at the store; it doubles with each
+        /// failure, so that a slow store is heard as well as one that is back.
+        Duration firstResponseTime = std::chrono::milliseconds(400);
+        Duration longestResponseTime = std::chrono::milliseconds(1600);
         Duration firstRetry = std::chrono::milliseconds(100);
-        Duration longestRetry = std::chrono::milliseconds(1000);
+        Duration longestRetry = std::chrono::milliseconds(400);
         /// Silence of the store that counts as an outage.
         Duration outage = std::chrono::milliseconds(2500);
         /// Time after an outage in which living entries are written again; the platform states about two seconds.
@@ -87,6 +91,9 @@
     std::optional<TimePoint> m_provenAt;
     TimePoint m_graceUntil {};
     Duration m_retry {};
+    std::uint32_t m_failures = 0;
+    /// Time that the watch under way waits at the store.
+    Duration m_waitTime {};
     std::uint64_t m_queries = 0;
     std::string m_failure;
 };
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -340,6 +340,28 @@
         connection->close();
 }
 
+void ConnectionPool::probe(std::function<void(bool isReachable)> done)
+{
+    struct Probe {
+        asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
+    };
+    ++m_opened;
+    auto probe = std::make_shared<Probe>(Probe { asio::ip::tcp::socket(m_context), asio::steady_timer(m_context) });
+    probe->timer.expires_after(m_options.connectTimeout);
+    probe->timer.async_wait([probe](const asio::error_code& cancelled) {
+        asio::error_code ignored;
+        if (!cancelled)
+            probe->socket.close(ignored);
+    });
+    probe->socket.async_connect(m_endpoint, [probe, done = std::move(done)](const asio::error_code& error) {
+        asio::error_code ignored;
+        probe->timer.cancel();
+        probe->socket.close(ignored);
+        done(!error);
+    });
+}
+
 std::shared_ptr<ConnectionPool::Connection> ConnectionPool::takeIdle()
 {
     const auto now = m_clock();
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -82,6 +82,8 @@
     Handle start(Exchange exchange, ExchangeEvents events);
     /// @brief Ends an exchange without further events and closes its connection.
     static void cancel(const Handle& handle);
+    /// @brief Finds out whether the upstream accepts connections, by one that carries nothing.
+    void probe(std::function<void(bool isReachable)> done);
     /// @brief Closes connections that were idle too long.
     void sweep(TimePoint now);
     /// @brief Closes every idle connection, as after the process was suspended.
