--- a/src/dispatch/RelayPlan.h
+++ b/src/dispatch/RelayPlan.h
@@ -56,7 +56,8 @@
     /// @brief Decides what follows.
     /// @param hasBegun whether part of the answer went to the caller
     RelayStep fail(AttemptFailure failure, bool hasBegun, TimePoint now, const Budget& budget);
-    /// @brief Whether an attempt that an upstream has run, or runs, may be left for another one; counts it as run if so.
+    /// @brief Whether an attempt that an upstream has run, or runs, may be left for another one; counts it as run if
+    /// so.
     bool tryLeave(bool hasBegun, TimePoint now, const Budget& budget);
 
 private:
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -53,8 +53,8 @@
     , m_client(m_context)
     , m_mirror(protocol, {}, [this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_admin(m_context, settings.admin.ip, settings.admin.port,
-          gateway::AdminServer::Sources { [this] { return isReady(); }, [this] { return m_metrics.serialize(); },
-              [this] { return statusJson(); } },
+          gateway::AdminServer::Sources {
+              [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } },
           settings.readinessPath)
     , m_incarnation(m_random())
     , m_members(settings.ip, m_incarnation)
@@ -117,8 +117,8 @@
     call.url = "http://" + m_settings.store.ip + ":" + std::to_string(m_settings.store.port) + query.target;
     call.timeout = query.timeout;
     call.connectTimeout = connectTimeout;
-    m_call = m_client.fetch(call,
-        [this](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
+    m_call = m_client.fetch(
+        call, [this](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
             onResponse(result, status, body);
         });
 }
@@ -248,7 +248,8 @@
     }
     if (entries == m_runners)
         return;
-    const auto leaving = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
+    const auto leaving
+        = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
     telemetry::logInfo("runners-changed",
         { { "before", static_cast<std::uint64_t>(m_runners.size()) },
             { "runners", static_cast<std::uint64_t>(entries.size()) },
--- a/src/edge/DocumentCodec.h
+++ b/src/edge/DocumentCodec.h
@@ -20,7 +20,8 @@
     virtual ~DocumentCodec() = default;
     virtual bool isConfigurationKey(std::string_view key) const = 0;
     virtual bool isRunnerKey(std::string_view key) const = 0;
-    virtual tl::expected<routing::Configuration, DocumentError> decodeConfiguration(std::string_view document) const = 0;
+    virtual tl::expected<routing::Configuration, DocumentError> decodeConfiguration(
+        std::string_view document) const = 0;
     /// @brief A runner's entry; an error for one that another writer spoiled.
     virtual tl::expected<runners::Entry, DocumentError> decodeRunner(
         std::string_view key, std::string_view document) const = 0;
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -75,12 +75,13 @@
     private:
         void report(std::string_view path, const std::string& allowed)
         {
-            std::ostringstream given;
+            std::ostringstream problem;
+            problem << path;
             if (const auto node = m_document.at_path(path))
-                node.visit([&](const auto& value) { given << value; });
-            if (!m_errors.empty())
-                m_errors += "; ";
-            m_errors += std::string(path) + " = '" + given.str() + "' is not " + allowed;
+                node.visit([&](const auto& value) { problem << " = " << value << " is not " << allowed; });
+            else
+                problem << " is missing; it is " << allowed;
+            m_errors += (m_errors.empty() ? "" : "; ") + problem.str();
         }
 
         const toml::table& m_document;
@@ -117,14 +118,14 @@
     settings.fleetPort = static_cast<std::uint16_t>(reader.number("fleet.port", 0, 0, 65535));
     settings.seeds = reader.texts("fleet.seeds");
     settings.grace = fromSeconds(reader.number("stop.grace_seconds", toSeconds(settings.grace), 0.5, mostSeconds));
-    settings.revocation = milliseconds(
-        reader.number("credentials.revocation_milliseconds", toSeconds(settings.revocation) * 1000.0, 100, mostMilliseconds));
+    settings.revocation = milliseconds(reader.number(
+        "credentials.revocation_milliseconds", toSeconds(settings.revocation) * 1000.0, 100, mostMilliseconds));
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio, 0, 10);
     settings.retryAllowance = reader.number("retries.allowance", settings.retryAllowance, 0, 1e6);
     settings.retryWindow
         = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, mostSeconds));
-    settings.runnerHeartbeat = milliseconds(
-        reader.number("runners.heartbeat_milliseconds", toSeconds(settings.runnerHeartbeat) * 1000.0, 10, mostMilliseconds));
+    settings.runnerHeartbeat = milliseconds(reader.number(
+        "runners.heartbeat_milliseconds", toSeconds(settings.runnerHeartbeat) * 1000.0, 10, mostMilliseconds));
     settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
     if (!reader.errors().empty())
         return tl::unexpected(SettingsError { reader.errors() });
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "common/Time.h"
 #include "common/Address.h"
+#include "common/Time.h"
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -10,8 +10,7 @@
 {
     auto runners = json::array();
     for (const auto& state : digest.runners)
-        runners.push_back(
-            { state.runner, state.underWay, state.servedTenths, state.failedTenths, state.suspendedMs });
+        runners.push_back({ state.runner, state.underWay, state.servedTenths, state.failedTenths, state.suspendedMs });
     auto crashes = json::array();
     for (const auto& report : digest.crashes)
         crashes.push_back({ report.request, report.runners });
--- a/src/fleet/Members.h
+++ b/src/fleet/Members.h
@@ -14,7 +14,8 @@
 
 /// @brief Durations of the membership of daemons.
 struct MembersOptions {
-    /// Time between digests to a daemon that answers; grows with the fleet, so that the traffic of one daemon is bounded.
+    /// Time between digests to a daemon that answers; grows with the fleet, so that the traffic of one daemon is
+    /// bounded.
     Duration interval = std::chrono::milliseconds(150);
     /// Time that each daemon adds to the interval.
     Duration intervalPerMember = std::chrono::milliseconds(8);
--- a/src/gateway/AdminServer.cpp
+++ b/src/gateway/AdminServer.cpp
@@ -17,8 +17,8 @@
 
 }
 
-AdminServer::AdminServer(asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources,
-    std::string readinessPath)
+AdminServer::AdminServer(
+    asio::io_context& context, const std::string& ip, std::uint16_t port, Sources sources, std::string readinessPath)
     : m_sources(std::move(sources))
     , m_readinessPath(std::move(readinessPath))
     , m_server(context, serverOptions(ip, port),
@@ -44,8 +44,8 @@
         return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_sources.metrics() };
     if (path == "/admin/status")
         return { 200, { { "Content-Type", "application/json" } }, m_sources.status() };
-    return toResponse({ 404, ProblemCode::UnknownPath, "use /healthz, " + m_readinessPath + ", /metrics or /admin/status",
-        ProblemOutcome::NotRun, {} });
+    return toResponse({ 404, ProblemCode::UnknownPath,
+        "use /healthz, " + m_readinessPath + ", /metrics or /admin/status", ProblemOutcome::NotRun, {} });
 }
 
 }
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -59,8 +59,8 @@
         : m_socket(std::move(socket))
         , m_shared(std::move(shared))
         , m_parser(http::MessageParser::Kind::Request,
-              { [this](http::MessageHead& head) { onHead(head); },
-                  [this](std::string_view bytes) { onBody(bytes); }, [this] { m_isComplete = true; } })
+              { [this](http::MessageHead& head) { onHead(head); }, [this](std::string_view bytes) { onBody(bytes); },
+                  [this] { m_isComplete = true; } })
         , m_since(m_shared->clock())
     {
         asio::error_code ignored;
@@ -223,10 +223,10 @@
             m_parser.setHeaderLimit(m_shared->limits.headerBytes);
             const auto used = m_parser.feed(m_input);
             if (!used) {
-                reject(used.error().isTooLarge
-                        ? Problem { 431, ProblemCode::HeadersTooLarge, used.error().message(), ProblemOutcome::NotRun, {} }
-                        : Problem { 400, ProblemCode::MalformedRequest, used.error().message(), ProblemOutcome::NotRun,
-                              {} });
+                reject(used.error().isTooLarge ? Problem { 431, ProblemCode::HeadersTooLarge, used.error().message(),
+                           ProblemOutcome::NotRun, {} }
+                                               : Problem { 400, ProblemCode::MalformedRequest, used.error().message(),
+                                                   ProblemOutcome::NotRun, {} });
                 return;
             }
             m_input.erase(0, *used);
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -76,10 +76,12 @@
                 self(parser).m_head.target.append(at, size);
                 return self(parser).count(size);
             };
-            result.on_header_field
-                = [](http_parser* parser, const char* at, std::size_t size) { return self(parser).field({ at, size }); };
-            result.on_header_value
-                = [](http_parser* parser, const char* at, std::size_t size) { return self(parser).value({ at, size }); };
+            result.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+                return self(parser).field({ at, size });
+            };
+            result.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+                return self(parser).value({ at, size });
+            };
             result.on_headers_complete = [](http_parser* parser) { return self(parser).headersComplete(); };
             result.on_body = [](http_parser* parser, const char* at, std::size_t size) {
                 self(parser).m_events.bodyReceived({ at, size });
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -30,8 +30,8 @@
 
 }
 
-Router::Router(asio::io_context& context, const RouterOptions& options, const Codec& codec,
-    telemetry::Metrics& metrics, Clock clock)
+Router::Router(asio::io_context& context, const RouterOptions& options, const Codec& codec, telemetry::Metrics& metrics,
+    Clock clock)
     : m_context(context)
     , m_options(options)
     , m_codec(codec)
@@ -114,8 +114,8 @@
 {
     if (!m_stopBy)
         return std::nullopt;
-    const auto expected
-        = route.kind == routing::RequestKind::Stream ? expectedStreamTime : std::min(route.timeout, expectedRequestTime);
+    const auto expected = route.kind == routing::RequestKind::Stream ? expectedStreamTime
+                                                                     : std::min(route.timeout, expectedRequestTime);
     if (now + expected < *m_stopBy)
         return std::nullopt;
     return Refusal { statusUnavailable, "stopping", retryAfterStopping };
@@ -134,8 +134,7 @@
         m_registry.observe(*suspect, runners::Observation::CannotConnect, time);
         m_crashes.recordCrash(request, suspect->identity, time);
         telemetry::logWarning("runner-dead",
-            { { "runner", id }, { "suspect", toHex(request) },
-                { "quarantined", m_crashes.isQuarantined(request) } });
+            { { "runner", id }, { "suspect", toHex(request) }, { "quarantined", m_crashes.isQuarantined(request) } });
     });
 }
 
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -394,8 +394,8 @@
 
 void Session::answerNotRun(std::string_view detail)
 {
-    m_router.refuse(*m_responder, m_start.facts,
-        { statusUnavailable, "no-runner", m_router.jitter(retryAfterNoRunner) });
+    m_router.refuse(
+        *m_responder, m_start.facts, { statusUnavailable, "no-runner", m_router.jitter(retryAfterNoRunner) });
     finish("not-run", statusUnavailable, detail);
 }
 
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -58,7 +58,8 @@
     return "none";
 }
 
-Placement place(const Registry& registry, const PlacementRequest& request, const PlacementOptions& options, TimePoint now)
+Placement place(
+    const Registry& registry, const PlacementRequest& request, const PlacementOptions& options, TimePoint now)
 {
     Placement result;
     double total = 0.0;
@@ -96,7 +97,8 @@
         if (fitting.runner) {
             result.runner = fitting.runner;
             result.reason = fitting.value > 0.0 ? PlacementReason::Returning
-                : fitting.runner == home.runner ? PlacementReason::Warm : PlacementReason::Spilled;
+                : fitting.runner == home.runner ? PlacementReason::Warm
+                                                : PlacementReason::Spilled;
         }
     }
     result.load = registry.load(*result.runner, now);
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -64,6 +64,7 @@
 /// read it. The first one in that order within the load bound is taken. Requests that share nothing go to the least
 /// loaded runner, near ones first.
 /// @complexity linear in the runners of the service
-Placement place(const Registry& registry, const PlacementRequest& request, const PlacementOptions& options, TimePoint now);
+Placement place(
+    const Registry& registry, const PlacementRequest& request, const PlacementOptions& options, TimePoint now);
 
 }
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -31,8 +31,8 @@
     auto responseTime = m_options.responseTime;
     if (m_failures > 0) {
         const auto doublings = std::min(m_failures - 1, mostDoublings);
-        responseTime = std::min(
-            m_options.firstResponseTime * (std::int64_t { 1 } << doublings), m_options.longestResponseTime);
+        responseTime
+            = std::min(m_options.firstResponseTime * (std::int64_t { 1 } << doublings), m_options.longestResponseTime);
     }
     if (m_isListing)
         return Query { Query::Kind::List, m_protocol.listTarget(m_lastListed), responseTime };
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -52,8 +52,8 @@
         , m_options(pool.m_options)
         , m_owner(std::move(owner))
         , m_parser(http::MessageParser::Kind::Response,
-              { [this](http::MessageHead& head) { onHead(head); },
-                  [this](std::string_view bytes) { onBody(bytes); }, [this] { m_isMessageComplete = true; } })
+              { [this](http::MessageHead& head) { onHead(head); }, [this](std::string_view bytes) { onBody(bytes); },
+                  [this] { m_isMessageComplete = true; } })
         , m_idleTime(m_options.idleTime)
     {
     }
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -72,8 +72,8 @@
         std::uint64_t exchange = 0;
     };
 
-    ConnectionPool(
-        asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock, const ConnectionPoolOptions& options);
+    ConnectionPool(asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock,
+        const ConnectionPoolOptions& options);
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool&) = delete;
     ConnectionPool& operator=(const ConnectionPool&) = delete;
--- /dev/null
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -0,0 +1,57 @@
+#include "edge/RelaySettings.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassford;
+
+namespace {
+
+const std::string settings = R"(host = "edge-1"
+data_centre = "a"
+ip = "10.0.0.1"
+new_field = "ignored"
+[listen]
+callers = "10.0.0.1:80"
+admin = "10.0.0.1:81"
+[store]
+address = "10.0.0.9:82"
+[fleet]
+port = 7340
+seeds = ["10.0.0.2:83"]
+[stop]
+grace_seconds = 8
+)";
+
+std::string with(const std::string& from, const std::string& to)
+{
+    auto text = settings;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+}
+
+TEST_CASE("settings are read, and fields that are not known are ignored")
+{
+    const auto result = edge::parseRelaySettings(settings);
+    REQUIRE(result);
+    CHECK(result->host == "edge-1");
+    CHECK(result->store.port == 82);
+    CHECK(result->fleetPort == 7340);
+    CHECK(result->seeds == std::vector<std::string> { "10.0.0.2:83" });
+    CHECK(result->grace == std::chrono::seconds(8));
+}
+
+TEST_CASE("a wrong setting is refused with its name, its value and what is allowed")
+{
+    const auto address = edge::parseRelaySettings(with("10.0.0.1:80", "nowhere"));
+    REQUIRE_FALSE(address);
+    CHECK(address.error().message() == "[settings.601] listen.callers = 'nowhere' is not IP:PORT");
+    const auto port = edge::parseRelaySettings(with("7340", "70000"));
+    REQUIRE_FALSE(port);
+    CHECK(port.error().what.find("fleet.port = 70000 is not a number from 0") == 0);
+    const auto missing = edge::parseRelaySettings(with("host = \"edge-1\"", ""));
+    REQUIRE_FALSE(missing);
+    CHECK(missing.error().what == "host is missing; it is a text that is not empty");
+    CHECK_FALSE(edge::parseRelaySettings("not toml ="));
+}
--- /dev/null
+++ b/tests/gateway/StreamServerTest.cpp
@@ -0,0 +1,162 @@
+#include "gateway/StreamServer.h"
+
+#include "support/Loopback.h"
+
+using namespace eelgrassford;
+using tests::Peer;
+using tests::runUntil;
+
+namespace {
+
+struct Fixture {
+    asio::io_context context;
+    std::uint16_t port = tests::freePort(context);
+    std::vector<gateway::HttpRequest> requests;
+    std::vector<std::shared_ptr<gateway::Responder>> responders;
+    gateway::StreamServer server { context, "127.0.0.1", port, daemon::currentTime,
+        [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
+            requests.push_back(std::move(request));
+            responders.push_back(responder);
+        } };
+
+    void awaitRequests(std::size_t count)
+    {
+        runUntil(context, [&] { return requests.size() >= count; });
+    }
+};
+
+}
+
+TEST_CASE("a caller that leaves while its request runs is noticed at once")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    bool isGone = false;
+    fixture.responders[0]->onGone([&] { isGone = true; });
+    caller->close();
+    runUntil(fixture.context, [&] { return isGone; });
+}
+
+TEST_CASE("requests that follow each other on a connection are answered in order")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    CHECK(fixture.requests.size() == 1);
+    fixture.responders[0]->respond({ 200, {}, "first" });
+    fixture.awaitRequests(2);
+    fixture.responders[1]->respond({ 200, {}, "second" });
+    runUntil(fixture.context, [&] { return caller->has("second"); });
+    CHECK(caller->received.find("first") < caller->received.find("second"));
+    CHECK_FALSE(caller->isEnded);
+}
+
+TEST_CASE("a chunked body arrives whole, and a request inside it stays a body")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "14\r\nGET /x HTTP/1.1\r\n\r\n!\r\n3\r\nabc\r\n0\r\n\r\n");
+    fixture.awaitRequests(1);
+    CHECK(fixture.requests[0].body == "GET /x HTTP/1.1\r\n\r\n!abc");
+    fixture.responders[0]->respond({ 200, {}, "" });
+    CHECK(fixture.requests.size() == 1);
+}
+
+TEST_CASE("an answer that is given up ends its connection without looking whole")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    fixture.responders[0]->begin(200, {});
+    fixture.responders[0]->write("part");
+    runUntil(fixture.context, [&] { return caller->has("part"); });
+    fixture.responders[0]->abort();
+    runUntil(fixture.context, [&] { return caller->isEnded; });
+    CHECK_FALSE(caller->has("0\r\n\r\n"));
+}
+
+TEST_CASE("a request that is dropped without an answer closes its connection")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    fixture.responders.clear();
+    runUntil(fixture.context, [&] { return caller->isEnded; });
+    CHECK(caller->received.empty());
+}
+
+TEST_CASE("bad requests get the right answer and reach nobody")
+{
+    struct Case {
+        std::string bytes;
+        const char* status;
+    };
+    const std::string longValue(20000, 'x');
+    for (const auto& [bytes, status] : {
+             Case { "nonsense\r\n\r\n", "400" },
+             Case { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400" },
+             Case { "GET / HTTP/1.1\r\nHost: h\r\nX: " + longValue + "\r\n\r\n", "431" },
+             Case { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", "413" },
+             Case { "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+         }) {
+        Fixture fixture;
+        const auto caller = Peer::connect(fixture.context, fixture.port);
+        caller->send(bytes);
+        runUntil(fixture.context, [&] { return caller->has("\r\n\r\n"); });
+        CHECK(caller->received.starts_with(std::string("HTTP/1.1 ") + status));
+        CHECK(fixture.requests.empty());
+    }
+}
+
+TEST_CASE("a body over the limit in chunks is refused")
+{
+    Fixture fixture;
+    gateway::CallerLimits limits;
+    limits.bodyBytes = 10;
+    fixture.server.setLimits(limits);
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n");
+    runUntil(fixture.context, [&] { return caller->has("\r\n\r\n"); });
+    CHECK(caller->received.starts_with("HTTP/1.1 413"));
+    CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("headers that come too slowly are answered, and an idle connection is closed")
+{
+    Fixture fixture;
+    const auto slow = Peer::connect(fixture.context, fixture.port);
+    const auto idle = Peer::connect(fixture.context, fixture.port);
+    slow->send("GET / HTTP/1.1\r\nHo");
+    runUntil(
+        fixture.context, [&] { return fixture.server.busyConnections() == 1 && fixture.server.connections() == 2; });
+    fixture.server.sweep(daemon::currentTime() + std::chrono::seconds(4));
+    runUntil(fixture.context, [&] { return slow->has("\r\n\r\n"); });
+    CHECK(slow->received.starts_with("HTTP/1.1 408"));
+    CHECK_FALSE(idle->isEnded);
+    fixture.server.sweep(daemon::currentTime() + std::chrono::seconds(16));
+    runUntil(fixture.context, [&] { return idle->isEnded; });
+}
+
+TEST_CASE("while stopping, answers ask callers to close and idle connections are closed")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    const auto idle = Peer::connect(fixture.context, fixture.port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    runUntil(fixture.context, [&] { return fixture.server.connections() == 2; });
+    fixture.server.closeAfterResponses();
+    fixture.server.closeIdle();
+    runUntil(fixture.context, [&] { return idle->isEnded; });
+    CHECK_FALSE(caller->isEnded);
+    fixture.responders[0]->respond({ 200, {}, "last" });
+    runUntil(fixture.context, [&] { return caller->isEnded; });
+    CHECK(caller->has("Connection: close"));
+    CHECK(caller->has("last"));
+}
--- /dev/null
+++ b/tests/platform/DocumentsTest.cpp
@@ -0,0 +1,112 @@
+#include "platform/Documents.h"
+#include "platform/StoreProtocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassford;
+
+namespace {
+
+const char* const configuration = R"({"version":7,
+  "routes":[{"name":"r-1","host":"a.example","pathPrefix":"/x/","kind":"streaming","timeoutMs":15000,
+             "targetLatencyMs":800,"priority":1,"trafficSplit":[{"service":"s-1","weight":90},{"service":"s-2","weight":10}],
+             "maxAttempts":2,"public":false,"sticky":true,"streamResume":true,"gapTargetMs":400},
+            {"name":"r-2","host":"a.example","pathPrefix":"/y/","kind":"non_idempotent","timeoutMs":1200,
+             "service":"s-2","public":true}],
+  "services":[{"name":"s-1","healthPath":"/health","maxConnections":360,"engine":{"slots":64,"kvCapacityTokens":546534}},
+              {"name":"s-2","healthPath":"/health","maxConnections":100}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+  "tenants":[{"name":"works","apiKeys":["k1","k2"],"priority":1}]})";
+
+const char* const runner = R"({"service":"s-1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":64,
+  "state":"ready","coldRemainingMs":0,"sequence":4,"born":1700000000000})";
+
+}
+
+TEST_CASE("a configuration is decoded into the product's own terms")
+{
+    const auto result = platform::Documents().decodeConfiguration(configuration);
+    REQUIRE(result);
+    CHECK(result->revision == 7);
+    REQUIRE(result->routes.size() == 2);
+    const auto& stream = result->routes[0];
+    CHECK(stream.kind == routing::RequestKind::Stream);
+    CHECK(stream.isRepeatable());
+    CHECK(stream.destinations.size() == 2);
+    CHECK(stream.timeout == std::chrono::seconds(15));
+    CHECK(stream.maxAttempts == 2);
+    const auto& booking = result->routes[1];
+    CHECK(booking.kind == routing::RequestKind::NonIdempotent);
+    CHECK_FALSE(booking.isRepeatable());
+    CHECK(booking.isPublic);
+    CHECK(booking.maxAttempts == 1);
+    CHECK(result->services[0].isModel);
+    CHECK_FALSE(result->services[1].isModel);
+    CHECK(result->organisations[0].credentials.size() == 2);
+    CHECK(result->limits.idleTimeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a kind that is not known is treated as one that may run once")
+{
+    std::string text = configuration;
+    const std::string kind = "\"streaming\"";
+    text.replace(text.find(kind), kind.size(), "\"novel\"");
+    const auto result = platform::Documents().decodeConfiguration(text);
+    REQUIRE(result);
+    CHECK(result->routes[0].kind == routing::RequestKind::NonIdempotent);
+}
+
+TEST_CASE("a configuration that cannot be read is an error, never an empty one")
+{
+    CHECK_FALSE(platform::Documents().decodeConfiguration(""));
+    CHECK_FALSE(platform::Documents().decodeConfiguration("{}"));
+    CHECK_FALSE(platform::Documents().decodeConfiguration(R"({"version":"7"})"));
+}
+
+TEST_CASE("a runner's entry is decoded with its lifetime")
+{
+    const platform::Documents documents;
+    CHECK(documents.isRunnerKey("servers/i-1"));
+    CHECK_FALSE(documents.isRunnerKey("op/config"));
+    const auto entry = documents.decodeRunner("servers/i-1", runner);
+    REQUIRE(entry);
+    CHECK(entry->id == "i-1");
+    CHECK(entry->ip == "10.0.0.9");
+    CHECK(entry->port == 8080);
+    CHECK(entry->startedAtMs == 1700000000000);
+    CHECK_FALSE(entry->isLeaving);
+}
+
+TEST_CASE("entries that another writer spoiled name no runner")
+{
+    const platform::Documents documents;
+    for (const char* text : { "", "null", "[]", "\xff\xfe", "{}",
+             R"({"service":1,"address":"10.0.0.9:8080","zone":"a","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9","zone":"a","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:0","zone":"a","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":"64","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":64,"state":"resting"})" })
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", text));
+}
+
+TEST_CASE("pages and changes of the store are decoded, and garbage is an error")
+{
+    const platform::StoreProtocol protocol;
+    const auto page = protocol.decodePage(
+        R"({"items":[{"key":"my/leader","value":"bm9kZS0x","revision":412,"created":412,"lease":0}],"hasMore":true,"storeRevision":530})");
+    REQUIRE(page);
+    CHECK(page->items.at(0).value == "node-1");
+    CHECK(page->items.at(0).revision == 412);
+    CHECK(page->hasMore);
+    CHECK(page->storeRevision == 530);
+    const auto changes = protocol.decodeChanges(
+        R"({"events":[{"key":"a","value":"YQ==","revision":5},{"key":"b","revision":6,"tombstone":true}],"storeRevision":6})");
+    REQUIRE(changes);
+    CHECK(changes->changes.at(0).item.value == "a");
+    CHECK_FALSE(changes->changes.at(0).isRemoved);
+    CHECK(changes->changes.at(1).isRemoved);
+    CHECK_FALSE(protocol.decodePage("garbage"));
+    CHECK_FALSE(protocol.decodeChanges(R"({"events":[{}],"storeRevision":6})"));
+    CHECK(protocol.isHistoryLost(410));
+    CHECK(protocol.listTarget("servers/i 1") == "/kv-range?pathPrefix=&after=servers/i%201");
+}
--- /dev/null
+++ b/tests/runners/PlacementTest.cpp
@@ -0,0 +1,136 @@
+#include "runners/Placement.h"
+
+#include "common/Hash.h"
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace eelgrassford;
+using runners::Placement;
+using runners::PlacementReason;
+using runners::Registry;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+struct Fleet {
+    Registry registry;
+    std::vector<runners::Entry> entries;
+
+    explicit Fleet(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            entries.push_back(
+                { "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, i % 2 == 0 ? "a" : "b", 64, false, 1 });
+        apply();
+    }
+    void apply()
+    {
+        registry.apply(entries, start, [](const std::string&) {});
+    }
+    Placement place(std::uint64_t affinity, std::span<const std::string> excluded = {}, std::string_view previous = {})
+    {
+        runners::PlacementRequest request;
+        request.service = "pool";
+        request.affinity = affinity;
+        request.previousRunner = previous;
+        request.dataCentre = "a";
+        request.excluded = excluded;
+        return runners::place(registry, request, {}, start);
+    }
+};
+
+}
+
+TEST_CASE("a shared part has the same first choice on every daemon")
+{
+    Fleet one(18);
+    Fleet other(18);
+    for (std::uint64_t part = 1; part < 200; ++part) {
+        const auto placement = one.place(part);
+        CHECK(placement.reason == PlacementReason::Warm);
+        CHECK(placement.runner->entry.id == other.place(part).runner->entry.id);
+    }
+}
+
+TEST_CASE("a runner that comes or goes moves only its own share of the parts")
+{
+    Fleet before(18);
+    Fleet after(19);
+    int moved = 0;
+    for (std::uint64_t part = 1; part <= 1000; ++part) {
+        const auto* runner = after.place(part).runner;
+        if (runner->entry.id == before.place(part).runner->entry.id)
+            continue;
+        CHECK(runner->entry.id == "r-18");
+        ++moved;
+    }
+    CHECK(moved > 20);
+    CHECK(moved < 90);
+}
+
+TEST_CASE("a hot part spreads over the runners next in its order, within the bound")
+{
+    Fleet fleet(18);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 180; ++i) {
+        const auto placement = fleet.place(42);
+        fleet.registry.dispatched(*placement.runner);
+        ++counts[placement.runner->entry.id];
+        CHECK(placement.home != nullptr);
+    }
+    for (const auto& [id, count] : counts)
+        CHECK(count <= 1.5 * 10 + 3);
+    CHECK(counts.size() >= 10);
+    CHECK(counts.size() < 18);
+}
+
+TEST_CASE("a runner that failed the request is not chosen again")
+{
+    Fleet fleet(3);
+    const std::vector<std::string> excluded { fleet.place(7).runner->entry.id };
+    CHECK(fleet.place(7, excluded).runner->entry.id != excluded.front());
+    const std::vector<std::string> all { "r-0", "r-1", "r-2" };
+    CHECK(fleet.place(7, all).runner == nullptr);
+}
+
+TEST_CASE("a session that comes back meets the runner that served it")
+{
+    Fleet fleet(18);
+    const auto placement = fleet.place(9, {}, "r-4");
+    CHECK(placement.runner->entry.id == "r-4");
+    CHECK(placement.reason == PlacementReason::Returning);
+}
+
+TEST_CASE("requests that share nothing go to the least loaded runner, near ones first")
+{
+    Fleet fleet(4);
+    CHECK(fleet.place(0).runner->entry.dataCentre == "a");
+    fleet.registry.dispatched(*fleet.registry.find("r-0"));
+    fleet.registry.dispatched(*fleet.registry.find("r-2"));
+    CHECK(fleet.place(0).runner->entry.dataCentre == "b");
+}
+
+TEST_CASE("daemons that know of each other do not herd to the runner that looks idle")
+{
+    // Load: twenty daemons see the same stale report of one idle runner, and each places requests without reuse.
+    constexpr int daemons = 20;
+    std::map<std::string, std::uint32_t> counts;
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+        Fleet fleet(10);
+        runners::PlacementRequest request;
+        request.service = "pool";
+        request.dataCentre = "c";
+        for (int i = 0; i < 5; ++i) {
+            request.draw = hash64(std::to_string(daemon * 100 + i));
+            for (auto& [id, count] : counts)
+                fleet.registry.setPeerWord(
+                    *fleet.registry.find(id), { count - fleet.registry.find(id)->ownLoad, 0.0, 0.0, 0 });
+            auto* runner = runners::place(fleet.registry, request, {}, start).runner;
+            fleet.registry.dispatched(*runner);
+            ++counts[runner->entry.id];
+        }
+    }
+    for (const auto& [id, count] : counts)
+        CHECK(count == 10);
+}
--- /dev/null
+++ b/tests/runners/RegistryTest.cpp
@@ -0,0 +1,154 @@
+#include "runners/Registry.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassford;
+using runners::Observation;
+using runners::Registry;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+runners::Entry entry(const std::string& id, std::uint64_t startedAt = 1)
+{
+    return { id, "service", "127.0.0.1", 8000, "a", 8, false, startedAt };
+}
+
+struct Fixture {
+    Registry registry;
+    std::vector<std::string> removed;
+
+    Fixture() { apply({ entry("r-1"), entry("r-2"), entry("r-3"), entry("r-4") }); }
+    void apply(const std::vector<runners::Entry>& entries)
+    {
+        registry.apply(entries, start, [this](const std::string& id) { removed.push_back(id); });
+    }
+    runners::Runner& runner(std::string_view id) { return *registry.find(id); }
+    bool isUsable(std::string_view id, TimePoint now) { return registry.isUsable(runner(id), now); }
+    void end(std::string_view id, Observation observation, TimePoint now = start)
+    {
+        registry.dispatched(runner(id));
+        registry.finished(runner(id), observation, now);
+    }
+};
+
+}
+
+TEST_CASE("a runner that starts again under its id is another runner")
+{
+    Fixture fixture;
+    fixture.registry.dispatched(fixture.runner("r-1"));
+    const auto before = fixture.runner("r-1").identity;
+    fixture.apply({ entry("r-1", 2), entry("r-2"), entry("r-3"), entry("r-4") });
+    CHECK(fixture.removed == std::vector<std::string> { "r-1" });
+    CHECK(fixture.runner("r-1").ownLoad == 0);
+    CHECK(fixture.runner("r-1").identity != before);
+}
+
+TEST_CASE("a leaving runner gets nothing new and keeps what it has")
+{
+    Fixture fixture;
+    fixture.registry.dispatched(fixture.runner("r-1"));
+    auto leaving = entry("r-1");
+    leaving.isLeaving = true;
+    fixture.apply({ leaving, entry("r-2"), entry("r-3"), entry("r-4") });
+    CHECK_FALSE(fixture.isUsable("r-1", start));
+    CHECK(fixture.runner("r-1").ownLoad == 1);
+    CHECK(fixture.removed.empty());
+}
+
+TEST_CASE("one broken connection is not held against a runner, two in a row are")
+{
+    Fixture fixture;
+    fixture.end("r-1", Observation::ConnectionLost);
+    CHECK(fixture.isUsable("r-1", start));
+    fixture.end("r-1", Observation::Served);
+    fixture.end("r-1", Observation::ConnectionLost);
+    CHECK(fixture.isUsable("r-1", start));
+    fixture.end("r-1", Observation::ConnectionLost);
+    CHECK_FALSE(fixture.isUsable("r-1", start));
+}
+
+TEST_CASE("a suspended runner comes back with one request at a time")
+{
+    Fixture fixture;
+    fixture.end("r-1", Observation::CannotConnect);
+    CHECK_FALSE(fixture.isUsable("r-1", start + milliseconds(499)));
+    const auto back = start + milliseconds(500);
+    CHECK(fixture.isUsable("r-1", back));
+    fixture.registry.dispatched(fixture.runner("r-1"));
+    CHECK_FALSE(fixture.isUsable("r-1", back));
+    SUBCASE("success ends the trial")
+    {
+        fixture.registry.finished(fixture.runner("r-1"), Observation::Served, back);
+        fixture.registry.dispatched(fixture.runner("r-1"));
+        CHECK(fixture.isUsable("r-1", back));
+    }
+    SUBCASE("failure suspends it for longer")
+    {
+        fixture.registry.finished(fixture.runner("r-1"), Observation::CannotConnect, back);
+        CHECK_FALSE(fixture.isUsable("r-1", back + milliseconds(999)));
+        CHECK(fixture.isUsable("r-1", back + milliseconds(1000)));
+    }
+}
+
+TEST_CASE("a runner that fails part of its requests is suspended, one that fails as often as the others is not")
+{
+    Fixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        for (const char* id : { "r-1", "r-2", "r-3" })
+            fixture.end(id, i % 7 == 0 ? Observation::Failed : Observation::Served);
+        fixture.end("r-4", i % 2 == 0 ? Observation::Failed : Observation::Served);
+    }
+    CHECK(fixture.isUsable("r-1", start));
+    CHECK(fixture.isUsable("r-2", start));
+    CHECK(fixture.isUsable("r-3", start));
+    CHECK_FALSE(fixture.isUsable("r-4", start));
+}
+
+TEST_CASE("failures that other daemons saw count, so that a rare caller learns as fast as a busy one")
+{
+    Fixture fixture;
+    fixture.registry.setPeerWord(fixture.runner("r-1"), { 0, 4.0, 4.0, 0 });
+    fixture.end("r-1", Observation::Failed);
+    CHECK_FALSE(fixture.isUsable("r-1", start));
+}
+
+TEST_CASE("never more than half of a service is suspended")
+{
+    Fixture fixture;
+    for (const char* id : { "r-1", "r-2", "r-3", "r-4" })
+        fixture.end(id, Observation::CannotConnect);
+    int usable = 0;
+    for (const char* id : { "r-1", "r-2", "r-3", "r-4" })
+        usable += fixture.isUsable(id, start) ? 1 : 0;
+    CHECK(usable == 2);
+}
+
+TEST_CASE("the word of one daemon is not enough to avoid a runner, that of two is")
+{
+    Fixture fixture;
+    const auto later = start + std::chrono::seconds(1);
+    fixture.registry.setPeerWord(fixture.runner("r-1"), { 0, 0.0, 0.0, 1 });
+    CHECK(fixture.isUsable("r-1", later));
+    fixture.registry.setPeerWord(fixture.runner("r-1"), { 0, 0.0, 0.0, 2 });
+    CHECK_FALSE(fixture.isUsable("r-1", later));
+    fixture.end("r-1", Observation::Served, later);
+    CHECK(fixture.isUsable("r-1", later));
+}
+
+TEST_CASE("load is what daemons know of each other, or the runner's own word where that is more")
+{
+    Fixture fixture;
+    auto& runner = fixture.runner("r-1");
+    fixture.registry.setPeerWord(runner, { 3, 0.0, 0.0, 0 });
+    fixture.registry.dispatched(runner);
+    CHECK(fixture.registry.load(runner, start) == 4.0);
+    fixture.registry.report(runner, { 8, 2, 8 }, start);
+    CHECK(fixture.registry.load(runner, start) == 10.0);
+    fixture.registry.dispatched(runner);
+    CHECK(fixture.registry.load(runner, start) == 11.0);
+    CHECK(fixture.registry.load(runner, start + std::chrono::seconds(2)) == 5.0);
+}
--- /dev/null
+++ b/tests/store/MirrorTest.cpp
@@ -0,0 +1,195 @@
+#include "store/Mirror.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassford;
+using std::chrono::milliseconds;
+using store::Mirror;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+/// Hands prepared documents to the mirror; the bodies are their names.
+class ScriptedProtocol : public store::Protocol {
+public:
+    std::string listTarget(std::string_view after) const override { return "list:" + std::string(after); }
+    std::string watchTarget(std::uint64_t after, Duration wait) const override
+    {
+        return "watch:" + std::to_string(after) + ":" + std::to_string(wait / milliseconds(1));
+    }
+    tl::expected<store::Page, store::ProtocolError> decodePage(std::string_view body) const override
+    {
+        const auto found = pages.find(std::string(body));
+        if (found == pages.end())
+            return tl::unexpected(store::ProtocolError { "garbage" });
+        return found->second;
+    }
+    tl::expected<store::Changes, store::ProtocolError> decodeChanges(std::string_view body) const override
+    {
+        const auto found = changes.find(std::string(body));
+        if (found == changes.end())
+            return tl::unexpected(store::ProtocolError { "garbage" });
+        return found->second;
+    }
+    bool isHistoryLost(std::uint16_t status) const override { return status == 410; }
+
+    std::map<std::string, store::Page> pages;
+    std::map<std::string, store::Changes> changes;
+};
+
+struct Fixture {
+    ScriptedProtocol protocol;
+    Mirror mirror { protocol, {}, [] { return 0.5; } };
+
+    Fixture()
+    {
+        protocol.pages["all"] = { { { "a", "1", 5 }, { "b", "1", 6 } }, false, 10 };
+        protocol.changes["nothing"] = { {}, 10 };
+        protocol.changes["a-removed"] = { { { { "a", "", 11 }, true } }, 11 };
+        protocol.changes["a-again"] = { { { { "a", "2", 12 }, false } }, 12 };
+    }
+
+    std::string ask(TimePoint now)
+    {
+        const auto query = mirror.next(now);
+        return query ? query->target : "";
+    }
+
+    void list(TimePoint now)
+    {
+        REQUIRE(ask(now) == "list:");
+        mirror.respond(200, "all", now);
+    }
+};
+
+}
+
+TEST_CASE("pages are listed to the end, then changes are watched from the first page's revision")
+{
+    Fixture fixture;
+    fixture.protocol.pages["first"] = { { { "a", "1", 5 } }, true, 10 };
+    fixture.protocol.pages["second"] = { { { "b", "1", 11 } }, false, 12 };
+    CHECK(fixture.ask(start) == "list:");
+    CHECK_FALSE(fixture.mirror.respond(200, "first", start));
+    CHECK_FALSE(fixture.mirror.isComplete());
+    CHECK(fixture.ask(start) == "list:a");
+    CHECK(fixture.mirror.respond(200, "second", start));
+    CHECK(fixture.mirror.items().size() == 2);
+    CHECK(fixture.ask(start) == "watch:10:1500");
+}
+
+TEST_CASE("an older value never replaces a newer one")
+{
+    Fixture fixture;
+    fixture.list(start);
+    fixture.protocol.changes["old"] = { { { { "a", "0", 4 }, false } }, 11 };
+    fixture.ask(start);
+    CHECK_FALSE(fixture.mirror.respond(200, "old", start));
+    CHECK(fixture.mirror.items().at("a").value == "1");
+}
+
+TEST_CASE("lost history leads to a new listing, with what is known kept meanwhile")
+{
+    Fixture fixture;
+    fixture.list(start);
+    fixture.ask(start);
+    fixture.mirror.respond(410, "", start);
+    CHECK(fixture.mirror.items().size() == 2);
+    CHECK(fixture.ask(start) == "list:");
+}
+
+TEST_CASE("a removed item is gone at once while the store is in order")
+{
+    Fixture fixture;
+    fixture.list(start);
+    fixture.ask(start);
+    CHECK(fixture.mirror.respond(200, "a-removed", start + milliseconds(100)));
+    CHECK_FALSE(fixture.mirror.items().contains("a"));
+}
+
+TEST_CASE("an item that lapsed with an outage is kept until it could have been written again")
+{
+    Fixture fixture;
+    fixture.list(start);
+    fixture.ask(start);
+    fixture.mirror.fail("silent", start + milliseconds(2300));
+    const auto back = start + std::chrono::seconds(6);
+    CHECK(fixture.ask(back) == "watch:10:0");
+    CHECK_FALSE(fixture.mirror.respond(200, "a-removed", back));
+    CHECK(fixture.mirror.items().contains("a"));
+    CHECK_FALSE(fixture.mirror.tick(back + milliseconds(2400)));
+    SUBCASE("it is dropped when it stays away")
+    {
+        CHECK(fixture.mirror.tick(back + milliseconds(2600)));
+        CHECK_FALSE(fixture.mirror.items().contains("a"));
+    }
+    SUBCASE("it stays when it is written again")
+    {
+        fixture.ask(back + milliseconds(1000));
+        fixture.mirror.respond(200, "a-again", back + milliseconds(1000));
+        CHECK_FALSE(fixture.mirror.tick(back + milliseconds(2600)));
+        CHECK(fixture.mirror.items().at("a").value == "2");
+    }
+}
+
+TEST_CASE("after a failure the store is asked for what it has now, so that its return is heard at once")
+{
+    // As in a drawn day of the permit desk: a watch that waited its whole time on a silenced connection hid a change
+    // for 2.4 s after the store was back.
+    Fixture fixture;
+    fixture.list(start);
+    fixture.ask(start);
+    auto now = start + milliseconds(2300);
+    for (int failure = 0; failure < 8; ++failure) {
+        fixture.mirror.fail("silent", now);
+        now += milliseconds(600);
+        const auto query = fixture.mirror.next(now);
+        REQUIRE(query);
+        CHECK(query->target == "watch:10:0");
+        CHECK(query->timeout <= milliseconds(1600));
+    }
+}
+
+TEST_CASE("only a watch that waited its whole time proves contact as of its end")
+{
+    Fixture fixture;
+    fixture.list(start);
+    CHECK(*fixture.mirror.provenAt() == start);
+    const auto sent = start + milliseconds(10);
+    fixture.ask(sent);
+    SUBCASE("a full wait")
+    {
+        fixture.mirror.respond(200, "nothing", sent + milliseconds(1504));
+        CHECK(*fixture.mirror.provenAt() == sent + milliseconds(1500));
+    }
+    SUBCASE("an early return proves only the time of sending")
+    {
+        fixture.mirror.respond(200, "nothing", sent + milliseconds(700));
+        CHECK(*fixture.mirror.provenAt() == sent);
+    }
+    SUBCASE("a response that was held up proves no more than the wait")
+    {
+        fixture.mirror.respond(200, "nothing", sent + milliseconds(2200));
+        CHECK(*fixture.mirror.provenAt() == sent + milliseconds(1500));
+    }
+}
+
+TEST_CASE("garbage, refusals and silence change nothing that is known")
+{
+    Fixture fixture;
+    fixture.list(start);
+    auto now = start;
+    for (const char* body : { "garbage", "" }) {
+        now += std::chrono::seconds(1);
+        fixture.ask(now);
+        CHECK_FALSE(fixture.mirror.respond(200, body, now));
+        CHECK(fixture.mirror.failure() == "garbage");
+    }
+    now += std::chrono::seconds(1);
+    fixture.ask(now);
+    fixture.mirror.respond(503, "", now);
+    CHECK(fixture.mirror.items().size() == 2);
+    CHECK(fixture.mirror.isComplete());
+    CHECK(*fixture.mirror.provenAt() == start);
+}
--- /dev/null
+++ b/tests/upstream/ConnectionPoolTest.cpp
@@ -0,0 +1,210 @@
+#include "upstream/ConnectionPool.h"
+
+#include "support/Loopback.h"
+
+using namespace eelgrassford;
+using tests::runUntil;
+using upstream::ConnectionPool;
+using upstream::ExchangeEnd;
+
+namespace {
+
+constexpr const char* request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+std::string response(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct Outcome {
+    std::optional<upstream::ExchangeResult> result;
+    std::string body;
+};
+
+struct Fixture {
+    asio::io_context context;
+    tests::Listener listener { context };
+    ConnectionPool pool { context, "127.0.0.1", listener.port(), daemon::currentTime, {} };
+
+    std::shared_ptr<Outcome> start(const std::string& id, const std::string& bytes = request)
+    {
+        auto outcome = std::make_shared<Outcome>();
+        upstream::Exchange exchange;
+        exchange.bytes = bytes;
+        exchange.isAnswer = [id](const http::MessageHead& head) { return head.header("Id") == std::string_view(id); };
+        handle = pool.start(std::move(exchange),
+            { {}, [outcome](std::string_view part) { outcome->body += part; },
+                [outcome](const upstream::ExchangeResult& result) { outcome->result = result; } });
+        return outcome;
+    }
+    tests::Peer& peer(std::size_t index)
+    {
+        runUntil(context, [&] { return listener.peers.size() > index; });
+        return *listener.peers[index];
+    }
+    void awaitRequests(std::size_t index, std::size_t count)
+    {
+        auto& from = peer(index);
+        runUntil(context, [&] {
+            std::size_t found = 0;
+            for (auto at = from.received.find("POST"); at != std::string::npos; at = from.received.find("POST", at + 1))
+                ++found;
+            return found >= count;
+        });
+    }
+    ExchangeEnd endOf(const std::shared_ptr<Outcome>& outcome)
+    {
+        runUntil(context, [&] { return outcome->result.has_value(); });
+        return outcome->result->end;
+    }
+
+    ConnectionPool::Handle handle;
+};
+
+}
+
+TEST_CASE("a connection is kept and used again")
+{
+    Fixture fixture;
+    for (std::size_t i = 1; i <= 3; ++i) {
+        const auto outcome = fixture.start("1");
+        fixture.awaitRequests(0, i);
+        fixture.peer(0).send(response("1", "body"));
+        CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+        CHECK(outcome->body == "body");
+    }
+    CHECK(fixture.pool.opened() == 1);
+}
+
+TEST_CASE("a kept connection that dies after it read a request is not repeated by the pool")
+{
+    Fixture fixture;
+    auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", ""));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    outcome = fixture.start("2");
+    fixture.awaitRequests(0, 2);
+    fixture.peer(0).close();
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Broken);
+    CHECK(outcome->result->isConnectionLost);
+    CHECK(fixture.pool.opened() == 1);
+}
+
+TEST_CASE("a kept connection that the peer closed while idle is not used")
+{
+    Fixture fixture;
+    auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", ""));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    fixture.peer(0).close();
+    outcome = fixture.start("2");
+    fixture.awaitRequests(1, 1);
+    fixture.peer(1).send(response("2", "two"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    CHECK(fixture.pool.opened() == 2);
+}
+
+TEST_CASE("a request to a port without listener was not sent")
+{
+    asio::io_context context;
+    ConnectionPool pool(context, "127.0.0.1", tests::freePort(context), daemon::currentTime, {});
+    std::optional<upstream::ExchangeResult> result;
+    pool.start({ request, [](const http::MessageHead&) { return true; } },
+        { {}, {}, [&](const upstream::ExchangeResult& ended) { result = ended; } });
+    runUntil(context, [&] { return result.has_value(); });
+    CHECK(result->end == ExchangeEnd::NotSent);
+}
+
+TEST_CASE("a late answer to an earlier request is passed over, and the connection is not used again")
+{
+    Fixture fixture;
+    auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", "one"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    outcome = fixture.start("2");
+    fixture.awaitRequests(0, 2);
+    fixture.peer(0).send(response("1", "one again") + response("2", "two"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    CHECK(outcome->body == "two");
+    CHECK(fixture.pool.idle() == 0);
+}
+
+TEST_CASE("bytes behind a whole response belong to nobody")
+{
+    Fixture fixture;
+    const auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", "one") + response("1", "extra"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    CHECK(outcome->body == "one");
+    CHECK(fixture.pool.idle() == 0);
+}
+
+TEST_CASE("a response that comes before the request was written whole ends its connection")
+{
+    Fixture fixture;
+    const std::string body(32u << 20, 'x');
+    const auto outcome = fixture.start(
+        "1", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", "early"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    CHECK(fixture.pool.idle() == 0);
+}
+
+TEST_CASE("a response without length is whole after an orderly end and torn after a reset")
+{
+    Fixture fixture;
+    const auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nopen end");
+    runUntil(fixture.context, [&] { return outcome->body == "open end"; });
+    SUBCASE("orderly")
+    {
+        fixture.peer(0).close();
+        CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    }
+    SUBCASE("reset")
+    {
+        fixture.peer(0).reset();
+        CHECK(fixture.endOf(outcome) == ExchangeEnd::Broken);
+    }
+}
+
+TEST_CASE("bytes that are no response break the exchange, but do not speak of a dead peer")
+{
+    Fixture fixture;
+    const auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send("nonsense\r\n\r\n");
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Broken);
+    CHECK_FALSE(outcome->result->isConnectionLost);
+}
+
+TEST_CASE("a cancelled exchange closes its connection and brings no event")
+{
+    Fixture fixture;
+    const auto outcome = fixture.start("1");
+    fixture.awaitRequests(0, 1);
+    ConnectionPool::cancel(fixture.handle);
+    runUntil(fixture.context, [&] { return fixture.peer(0).isEnded; });
+    CHECK_FALSE(outcome->result);
+}
+
+TEST_CASE("a handle of an ended exchange does not end the next one on its connection")
+{
+    Fixture fixture;
+    auto outcome = fixture.start("1");
+    const auto ended = fixture.handle;
+    fixture.awaitRequests(0, 1);
+    fixture.peer(0).send(response("1", ""));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+    outcome = fixture.start("2");
+    ConnectionPool::cancel(ended);
+    fixture.awaitRequests(0, 2);
+    fixture.peer(0).send(response("2", "two"));
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+}
