Let a few daemons read the store and the others follow them

Cause: on the grown sites the calls to the store were most of the price: every daemon's watch returned with each change.

Elects three readers from those heard, vouches their proof by question and answer, passes changes as deltas, gathers changes for 120 ms.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -18,17 +18,6 @@
     constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
-    /// IP addresses of the seeds; their ports belong to another interface.
-    std::vector<std::string> seedIps(const RelaySettings& settings)
-    {
-        std::vector<std::string> result;
-        for (const auto& seed : settings.seeds) {
-            if (const auto address = Address::parse(seed))
-                result.push_back(address->ip);
-        }
-        return result;
-    }
-
     std::string readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -56,16 +45,14 @@
           gateway::AdminServer::Sources {
               [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } },
           settings.readinessPath)
-    , m_incarnation(m_random())
-    , m_members(settings.ip, m_incarnation)
-    , m_fleet(m_context, settings.ip, settings.fleetPort, [this](const fleet::Digest& digest) { onDigest(digest); })
+    , m_fleet(m_context, settings, m_random(), m_mirror, m_client,
+          { [this] { publish(); },
+              [this](std::vector<dispatch::CrashRecord> records) { m_traffic.learnCrashes(std::move(records)); } })
     , m_lastTick(currentTime())
 {
-    m_members.addSeeds(seedIps(settings), m_lastTick);
     m_traffic.setStateListener([this](auto states, auto crashes) {
         asio::post(m_context, [this, states = std::move(states), crashes = std::move(crashes)]() mutable {
-            m_states = std::move(states);
-            m_crashes = std::move(crashes);
+            m_fleet.setStates(std::move(states), std::move(crashes));
         });
     });
 }
@@ -94,13 +81,13 @@
     if (now - m_lastTick > suspendedThreshold) {
         m_client.cancel(m_call);
         m_mirror.restart(now);
-        m_fleet.dropPending();
+        m_fleet.wakeUp();
     }
     m_lastTick = now;
     if (m_mirror.tick(now))
         publish();
-    hearPeers(now);
-    tellPeers(now, false);
+    m_fleet.tick(now);
+    m_traffic.setPeerWord(m_fleet.members().summarize(now));
     noteContact(now);
     if (const auto next = m_mirror.next(now))
         query(*next);
@@ -131,8 +118,10 @@
         hasChanged = m_mirror.respond(status, body, now);
     else
         m_mirror.fail(result.detail, now);
-    if (hasChanged)
+    if (hasChanged) {
+        m_fleet.announce(now);
         publish();
+    }
     noteContact(now);
     if (const auto next = m_mirror.next(now))
         query(*next);
@@ -140,67 +129,18 @@
 
 void ControlLoop::noteContact(TimePoint now)
 {
-    const bool isInContact = m_mirror.isComplete() && m_mirror.failure().empty();
-    if (isInContact != m_isInContact) {
-        m_isInContact = isInContact;
-        const auto provenAt = m_mirror.provenAt();
-        telemetry::logWarning(isInContact ? "store-regained" : "store-lost",
+    const auto provenAt = m_fleet.provenAt();
+    const bool hasFailed = !m_mirror.isComplete() || !m_mirror.failure().empty();
+    if (hasFailed != m_hasFailed) {
+        m_hasFailed = hasFailed;
+        telemetry::logWarning(hasFailed ? "store-lost" : "store-regained",
             { { "detail", m_mirror.failure() },
                 { "proof_age_ms", provenAt ? toSeconds(now - *provenAt) * 1000.0 : -1.0 } });
     }
-    auto provenAt = m_mirror.provenAt();
-    const auto vouched = m_members.vouchedProof(m_configurationRevision, now);
-    if (vouched && (!provenAt || *vouched > *provenAt))
-        provenAt = vouched;
-    if (provenAt && (!m_provenAt || *provenAt > *m_provenAt)) {
-        m_provenAt = provenAt;
-        m_traffic.proveContact(*provenAt);
-    }
-}
-
-void ControlLoop::onDigest(const fleet::Digest& digest)
-{
-    if (digest.region != m_settings.region || !m_members.receive(digest, currentTime()))
-        return;
-    if (!digest.crashes.empty())
-        m_traffic.learnCrashes(digest.crashes);
-}
-
-void ControlLoop::tellPeers(TimePoint now, bool isLeaving)
-{
-    const auto due = m_members.due(now);
-    if (due.empty())
-        return;
-    fleet::Digest digest;
-    digest.host = m_settings.host;
-    digest.incarnation = m_incarnation;
-    digest.sequence = ++m_sequence;
-    digest.ip = m_settings.ip;
-    digest.region = m_settings.region;
-    digest.configurationRevision = m_configurationRevision;
-    // Only an own proof is vouched for, so that daemons never vouch for each other in a circle.
-    if (const auto provenAt = m_mirror.provenAt())
-        digest.proofAgeMs = std::chrono::ceil<std::chrono::milliseconds>(now - *provenAt).count();
-    digest.members = m_members.nameSome();
-    digest.runners = m_states;
-    digest.crashes = m_crashes;
-    digest.isLeaving = isLeaving;
-    m_members.recordSent(digest.sequence, now);
-    const auto bytes = fleet::encode(digest);
-    for (const auto& ip : due)
-        m_fleet.send(ip, bytes);
-}
-
-void ControlLoop::hearPeers(TimePoint now)
-{
-    m_traffic.setPeerWord(m_members.summarize(now));
-    const auto heard = m_members.heard(now);
-    if (heard == m_heardPeers)
+    if (!provenAt || (m_provenAt && *provenAt <= *m_provenAt))
         return;
-    telemetry::logInfo("members-changed",
-        { { "before", static_cast<std::uint64_t>(m_heardPeers) }, { "heard", static_cast<std::uint64_t>(heard) },
-            { "known", static_cast<std::uint64_t>(m_members.known()) } });
-    m_heardPeers = heard;
+    m_provenAt = provenAt;
+    m_traffic.proveContact(*provenAt);
 }
 
 void ControlLoop::publish()
@@ -267,7 +207,7 @@
         return;
     }
     m_settings = *settings;
-    m_members.addSeeds(seedIps(m_settings), currentTime());
+    m_fleet.addSeeds(m_settings, currentTime());
     m_traffic.setSettings(m_settings);
     telemetry::logInfo("reload", { { "trigger", trigger }, { "host", m_settings.host } });
 }
@@ -292,7 +232,7 @@
     telemetry::logInfo("stop-begin", {});
     m_traffic.beginStop([this] {
         asio::post(m_context, [this] {
-            tellPeers(currentTime(), true);
+            m_fleet.leave(currentTime());
             m_context.stop();
         });
     });
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "edge/DocumentCodec.h"
-#include "edge/FleetSocket.h"
+#include "edge/FleetLink.h"
 #include "edge/RelaySettings.h"
 #include "edge/TrafficLoop.h"
-#include "fleet/Members.h"
 #include "gateway/AdminServer.h"
 #include "store/Mirror.h"
 #include "upstream/CurlClient.h"
@@ -29,9 +28,6 @@
     void publishConfiguration(const store::Item& item);
     void publishRunners();
     void noteContact(TimePoint now);
-    void onDigest(const fleet::Digest& digest);
-    void tellPeers(TimePoint now, bool isLeaving);
-    void hearPeers(TimePoint now);
     void reloadSettings(const char* trigger);
     void waitForSignal();
     void beginStop();
@@ -51,22 +47,16 @@
     upstream::CurlClient m_client;
     store::Mirror m_mirror;
     gateway::AdminServer m_admin;
-    std::uint64_t m_incarnation;
-    fleet::Members m_members;
-    FleetSocket m_fleet;
-    std::uint64_t m_sequence = 0;
-    std::vector<fleet::RunnerState> m_states;
-    std::vector<dispatch::CrashRecord> m_crashes;
+    FleetLink m_fleet;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
     std::vector<runners::Entry> m_runners;
     /// Newest proof that the configuration is current, own or vouched for.
     std::optional<TimePoint> m_provenAt;
-    std::size_t m_heardPeers = 0;
     upstream::CallId m_call = 0;
     TimePoint m_lastTick {};
     TimePoint m_nextSettingsCheckAt {};
-    bool m_isInContact = false;
+    bool m_hasFailed = true;
     bool m_isStopping = false;
 };
 
--- a/src/edge/FleetSocket.cpp
+++ b/src/edge/FleetSocket.cpp
@@ -50,9 +50,9 @@
         m_receivedBytes += size;
         if (!isKept)
             continue;
-        const auto digest = fleet::decodeDigest({ m_buffer.data(), size });
-        if (digest && digest->ip == from.address().to_string())
-            m_receiver(*digest);
+        const auto message = fleet::decode({ m_buffer.data(), size });
+        if (message)
+            m_receiver(from.address().to_string(), *message);
         else
             ++m_rejected;
     }
--- a/src/edge/FleetSocket.h
+++ b/src/edge/FleetSocket.h
@@ -15,7 +15,7 @@
 /// a host that was cut off is heard with its next digest.
 class FleetSocket {
 public:
-    using Receiver = std::function<void(const fleet::Digest& digest)>;
+    using Receiver = std::function<void(const std::string& from, const fleet::Message& message)>;
 
     /// @brief Binds; throws std::system_error if the address cannot be bound.
     FleetSocket(asio::io_context& context, const std::string& ip, std::uint16_t port, Receiver receiver);
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -85,7 +85,7 @@
     asio::post(m_context, [this, provenAt] { m_router.proveContact(provenAt); });
 }
 
-void TrafficLoop::setPeerWord(std::unordered_map<std::uint64_t, fleet::RunnerSummary> summaries)
+void TrafficLoop::setPeerWord(std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> summaries)
 {
     asio::post(m_context, [this, summaries = std::move(summaries)] { m_router.setPeerWord(summaries); });
 }
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -22,7 +22,7 @@
     using StateListener = std::function<void(std::vector<fleet::RunnerState>, std::vector<dispatch::CrashRecord>)>;
     /// @brief Must be set before run().
     void setStateListener(StateListener listener) { m_listener = std::move(listener); }
-    void setPeerWord(std::unordered_map<std::uint64_t, fleet::RunnerSummary> summaries);
+    void setPeerWord(std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> summaries);
     void learnCrashes(std::vector<dispatch::CrashRecord> records);
     /// @brief Begins a graceful stop; @a ended runs on this loop's thread when nothing is under way or time is over.
     void beginStop(std::function<void()> ended);
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -7,8 +7,6 @@
 namespace {
 
     constexpr double tenths = 10.0;
-    /// Own digests whose time is remembered; some ten seconds' worth.
-    constexpr std::size_t rememberedDigests = 64;
 
 }
 
@@ -48,9 +46,8 @@
     member.digest = digest;
     member.heardAt = now;
     member.nextAt = std::min(member.nextAt, now + m_options.interval);
-    member.writtenAfter = echoOf(digest);
-    for (const auto& reference : digest.members)
-        add(reference.ip, now);
+    for (const auto& ip : digest.members)
+        add(ip, now);
     return true;
 }
 
@@ -73,42 +70,29 @@
     return result;
 }
 
-std::vector<MemberReference> Members::nameSome()
+std::vector<std::string> Members::nameSome()
 {
     // Only daemons that were heard are named, so that a stale address dies out.
-    std::vector<MemberReference> heard;
+    std::vector<std::string> heard;
     for (const auto& [ip, member] : m_members) {
         if (member.digest)
-            heard.push_back({ ip, member.digest->incarnation, member.digest->sequence });
+            heard.push_back(ip);
     }
     if (heard.size() <= m_options.namedMembers)
         return heard;
-    const auto first = std::upper_bound(heard.begin(), heard.end(), m_lastNamed,
-        [](const std::string& ip, const MemberReference& reference) { return ip < reference.ip; });
+    const auto first = std::upper_bound(heard.begin(), heard.end(), m_lastNamed);
     std::rotate(heard.begin(), first, heard.end());
     heard.resize(m_options.namedMembers);
-    m_lastNamed = heard.back().ip;
+    m_lastNamed = heard.back();
     return heard;
 }
 
-void Members::recordSent(std::uint64_t sequence, TimePoint now)
+void Members::hurry(TimePoint now)
 {
-    m_sent.push_back({ sequence, now });
-    if (m_sent.size() > rememberedDigests)
-        m_sent.pop_front();
-}
-
-std::optional<TimePoint> Members::echoOf(const Digest& digest) const
-{
-    for (const auto& reference : digest.members) {
-        if (reference.ip != m_ownIp || reference.incarnation != m_ownIncarnation)
-            continue;
-        const auto sent = std::find_if(
-            m_sent.begin(), m_sent.end(), [&](const Sent& entry) { return entry.sequence == reference.sequence; });
-        if (sent != m_sent.end())
-            return sent->at;
+    for (auto& [ip, member] : m_members) {
+        if (isFresh(member, now))
+            member.nextAt = now;
     }
-    return std::nullopt;
 }
 
 bool Members::isFresh(const Member& member, TimePoint now) const
@@ -116,9 +100,9 @@
     return member.digest && !member.digest->isLeaving && now - member.heardAt <= m_options.digestLifetime;
 }
 
-std::unordered_map<std::uint64_t, RunnerSummary> Members::summarize(TimePoint now) const
+std::unordered_map<RunnerKey, RunnerSummary> Members::summarize(TimePoint now) const
 {
-    std::unordered_map<std::uint64_t, RunnerSummary> result;
+    std::unordered_map<RunnerKey, RunnerSummary> result;
     for (const auto& [ip, member] : m_members) {
         if (!isFresh(member, now))
             continue;
@@ -134,18 +118,14 @@
     return result;
 }
 
-std::optional<TimePoint> Members::vouchedProof(std::uint64_t revision, TimePoint now) const
+std::vector<std::string> Members::heardIps(TimePoint now) const
 {
-    std::optional<TimePoint> best;
+    std::vector<std::string> result;
     for (const auto& [ip, member] : m_members) {
-        if (!isFresh(member, now) || !member.writtenAfter || member.digest->proofAgeMs < 0
-            || member.digest->configurationRevision != revision)
-            continue;
-        const auto provenAt = *member.writtenAfter - std::chrono::milliseconds(member.digest->proofAgeMs);
-        if (!best || provenAt > *best)
-            best = provenAt;
+        if (isFresh(member, now))
+            result.push_back(ip);
     }
-    return best;
+    return result;
 }
 
 std::size_t Members::heard(TimePoint now) const
--- a/src/fleet/Members.h
+++ b/src/fleet/Members.h
@@ -2,7 +2,6 @@
 
 #include "common/Time.h"
 #include "fleet/Digest.h"
-#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -27,7 +26,7 @@
     /// Silence after which a daemon is forgotten.
     Duration forget = std::chrono::seconds(60);
     /// Addresses that one digest names.
-    std::size_t namedMembers = 24;
+    std::size_t namedMembers = 8;
 };
 
 /// @brief What the other daemons together say of one runner.
@@ -54,17 +53,14 @@
     /// @brief Addresses to which a digest is due now; they are taken to be told.
     std::vector<std::string> due(TimePoint now);
     /// @brief Some daemons for a digest, other ones each time if they are many.
-    std::vector<MemberReference> nameSome();
-    /// @brief Notes when a digest of this daemon was made.
-    void recordSent(std::uint64_t sequence, TimePoint now);
+    std::vector<std::string> nameSome();
+    /// @brief Makes a digest due to everyone, as after a change that others wait for.
+    void hurry(TimePoint now);
 
     /// @brief Sums what the daemons with a fresh digest say.
-    std::unordered_map<std::uint64_t, RunnerSummary> summarize(TimePoint now) const;
-    /// @brief The newest proof of contact that a daemon with the same revision vouches for.
-    ///
-    /// Its age counts from the time of the own digest that the other daemon had received when it wrote, so that time
-    /// spent on the way or in a suspended process makes a proof older, never newer.
-    std::optional<TimePoint> vouchedProof(std::uint64_t revision, TimePoint now) const;
+    std::unordered_map<RunnerKey, RunnerSummary> summarize(TimePoint now) const;
+    /// @brief Addresses of the daemons heard of lately, without this one.
+    std::vector<std::string> heardIps(TimePoint now) const;
     /// @brief Daemons heard of lately, without this one.
     std::size_t heard(TimePoint now) const;
     std::size_t known() const { return m_members.size(); }
@@ -75,15 +71,8 @@
         TimePoint heardAt {};
         TimePoint knownSince {};
         TimePoint nextAt {};
-        /// Time before which the digest cannot have been written; nothing if it names no digest of this daemon.
-        std::optional<TimePoint> writtenAfter;
-    };
-    struct Sent {
-        std::uint64_t sequence = 0;
-        TimePoint at {};
     };
 
-    std::optional<TimePoint> echoOf(const Digest& digest) const;
     bool isFresh(const Member& member, TimePoint now) const;
     void add(const std::string& ip, TimePoint now);
 
@@ -92,7 +81,6 @@
     MembersOptions m_options;
     std::map<std::string, Member> m_members;
     std::string m_lastNamed;
-    std::deque<Sent> m_sent;
 };
 
 }
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -18,10 +18,12 @@
     constexpr Duration retryAfterStopping = std::chrono::milliseconds(50);
     /// Time after which a request that crashes runners may be tried again.
     constexpr Duration retryAfterQuarantine = std::chrono::minutes(10);
-    /// Longest that a stream is expected to take; nine in ten of the users' streams end within it.
-    constexpr Duration expectedStreamTime = std::chrono::milliseconds(4500);
+    /// Longest that a stream is expected to take: the users' longest has 223 events of about 20 ms, behind a prompt.
+    constexpr Duration expectedStreamTime = std::chrono::milliseconds(4700);
     constexpr Duration expectedRequestTime = std::chrono::milliseconds(1500);
     constexpr double tenths = 10.0;
+    /// Fewer served requests than this say too little of a runner to be told, in tenths.
+    constexpr std::uint32_t leastServedTenths = 10;
 
     dispatch::RequestDigest digestOf(const gateway::HttpRequest& request, const RequestFacts& facts)
     {
@@ -143,23 +145,25 @@
     std::vector<fleet::RunnerState> result;
     for (const auto& [id, runner] : m_registry.runners()) {
         fleet::RunnerState state;
-        state.runner = runner->identity;
+        state.runner = static_cast<fleet::RunnerKey>(runner->identity);
         state.underWay = runner->ownLoad;
         const auto [served, failed] = m_registry.recent(*runner, now);
         state.servedTenths = static_cast<std::uint32_t>(served * tenths);
         state.failedTenths = static_cast<std::uint32_t>(failed * tenths);
         if (now < runner->suspendedUntil)
             state.suspendedMs = static_cast<std::uint32_t>(toSeconds(runner->suspendedUntil - now) * 1000.0);
-        if (state.underWay > 0 || state.servedTenths > 0 || state.failedTenths > 0 || state.suspendedMs > 0)
+        const bool isWorthTelling = state.underWay > 0 || state.suspendedMs > 0 || state.failedTenths > 0
+            || state.servedTenths >= leastServedTenths;
+        if (isWorthTelling)
             result.push_back(state);
     }
     return result;
 }
 
-void Router::setPeerWord(const std::unordered_map<std::uint64_t, fleet::RunnerSummary>& summaries)
+void Router::setPeerWord(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries)
 {
     for (const auto& [id, runner] : m_registry.runners()) {
-        const auto found = summaries.find(runner->identity);
+        const auto found = summaries.find(static_cast<fleet::RunnerKey>(runner->identity));
         const auto summary = found == summaries.end() ? fleet::RunnerSummary {} : found->second;
         m_registry.setPeerWord(*runner, { summary.underWay, summary.served, summary.failed, summary.suspendedBy });
     }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -57,7 +57,7 @@
     std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
     std::vector<dispatch::CrashRecord> crashRecords() const { return m_crashes.records(); }
     /// @brief Takes what the other daemons know.
-    void setPeerWord(const std::unordered_map<std::uint64_t, fleet::RunnerSummary>& summaries);
+    void setPeerWord(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries);
     void learnCrashes(std::span<const dispatch::CrashRecord> records);
     /// @brief From now on only requests that surely end before @a end are taken.
     void beginStop(TimePoint end) { m_stopBy = end; }
--- /dev/null
+++ b/src/store/DeltaCodec.cpp
@@ -0,0 +1,55 @@
+#include "store/DeltaCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrassford::store {
+
+using nlohmann::json;
+
+namespace {
+
+    json::binary_t toBinary(const std::string& bytes) { return json::binary_t({ bytes.begin(), bytes.end() }); }
+
+    std::string toText(const json& binary)
+    {
+        const auto& bytes = binary.get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+}
+
+std::string encode(const Delta& delta)
+{
+    auto items = json::array();
+    for (const auto& item : delta.items)
+        items.push_back({ item.key, toBinary(item.value), item.revision });
+    auto removals = json::array();
+    for (const auto& removal : delta.removals)
+        removals.push_back({ removal.key, removal.revision,
+            std::chrono::duration_cast<std::chrono::milliseconds>(removal.grace).count() });
+    std::string bytes;
+    json::to_cbor(json { delta.since, delta.watchRevision, delta.isWhole, items, removals }, bytes);
+    return bytes;
+}
+
+tl::expected<Delta, ProtocolError> decodeDelta(std::string_view bytes)
+{
+    try {
+        const auto document = json::from_cbor(bytes);
+        Delta delta;
+        delta.since = document.at(0).get<std::uint64_t>();
+        delta.watchRevision = document.at(1).get<std::uint64_t>();
+        delta.isWhole = document.at(2).get<bool>();
+        for (const auto& item : document.at(3))
+            delta.items.push_back(
+                { item.at(0).get<std::string>(), toText(item.at(1)), item.at(2).get<std::uint64_t>() });
+        for (const auto& removal : document.at(4))
+            delta.removals.push_back({ removal.at(0).get<std::string>(), removal.at(1).get<std::uint64_t>(),
+                std::chrono::milliseconds(removal.at(2).get<std::int64_t>()) });
+        return delta;
+    } catch (const json::exception& error) {
+        return tl::unexpected(ProtocolError { error.what() });
+    }
+}
+
+}
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -1,6 +1,7 @@
 #include "store/Mirror.h"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrassford::store {
 
@@ -23,7 +24,7 @@
 
 std::optional<Query> Mirror::next(TimePoint now)
 {
-    if (m_isUnderWay || now < m_nextAt)
+    if (!m_isReading || m_isUnderWay || now < m_nextAt)
         return std::nullopt;
     m_isUnderWay = true;
     m_sentAt = now;
@@ -120,9 +121,7 @@
 
 bool Mirror::finishListing(TimePoint now)
 {
-    const bool wasOutage = m_lastSuccessAt && now - *m_lastSuccessAt > m_options.outage;
-    if (wasOutage)
-        m_graceUntil = now + m_options.lapseGrace;
+    noteOutage(now);
     bool hasChanged = !m_isComplete;
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items) {
@@ -130,7 +129,7 @@
             missing.push_back(key);
     }
     for (const auto& key : missing)
-        hasChanged = remove(key, now) || hasChanged;
+        hasChanged = remove(key, m_listRevision, m_graceUntil, now) || hasChanged;
     for (const auto& [key, item] : m_listed)
         hasChanged = store(item) || hasChanged;
     m_revision = m_listRevision;
@@ -141,6 +140,13 @@
     return hasChanged;
 }
 
+void Mirror::noteOutage(TimePoint now)
+{
+    // Silence alone is none: a copy that others keep current asks the store nothing.
+    if (m_failures > 0 && m_lastCurrentAt && now - *m_lastCurrentAt > m_options.outage)
+        m_graceUntil = now + m_options.lapseGrace;
+}
+
 bool Mirror::onChanges(std::string_view body, TimePoint now)
 {
     const auto changes = m_protocol.decodeChanges(body);
@@ -149,22 +155,32 @@
         fail(changes.error().what, now);
         return false;
     }
-    const bool wasOutage = m_lastSuccessAt && now - *m_lastSuccessAt > m_options.outage;
-    if (wasOutage)
-        m_graceUntil = now + m_options.lapseGrace;
+    noteOutage(now);
     bool hasChanged = false;
-    for (const auto& change : changes->changes)
-        hasChanged = (change.isRemoved ? remove(change.item.key, now) : store(change.item)) || hasChanged;
+    for (const auto& change : changes->changes) {
+        const auto& item = change.item;
+        hasChanged = (change.isRemoved ? remove(item.key, item.revision, m_graceUntil, now) : store(item)) || hasChanged;
+    }
     m_revision = std::max(m_revision, changes->storeRevision);
     // A watch that waited its whole time and found nothing proves that nothing had changed by then.
     const bool hasWaited = changes->changes.empty() && now - m_sentAt + watchTolerance >= m_waitTime;
     succeed(hasWaited ? std::min(now, m_sentAt + m_waitTime) : m_sentAt, now);
+    if (!changes->changes.empty())
+        m_nextAt = now + m_options.gatherTime;
     return hasChanged;
 }
 
 bool Mirror::store(const Item& item)
 {
+    const auto removed = m_removals.find(item.key);
+    if (removed != m_removals.end()) {
+        // An older word than the removal, from another copy.
+        if (item.revision <= removed->second)
+            return false;
+        m_removals.erase(removed);
+    }
     m_lapsed.erase(item.key);
+    m_changeRevision = std::max(m_changeRevision, item.revision);
     auto& kept = m_items[item.key];
     // Repeated and older news change nothing.
     if (kept.revision >= item.revision)
@@ -173,26 +189,87 @@
     return true;
 }
 
-bool Mirror::remove(const std::string& key, TimePoint now)
+bool Mirror::remove(const std::string& key, std::uint64_t revision, TimePoint keptUntil, TimePoint now)
 {
-    if (!m_items.contains(key))
+    const auto found = m_items.find(key);
+    if (found != m_items.end() && found->second.revision > revision)
+        return false;
+    m_changeRevision = std::max(m_changeRevision, revision);
+    m_removals[key] = revision;
+    if (m_removals.size() > m_options.keptRemovals) {
+        m_forgottenRevision = m_changeRevision;
+        m_removals.clear();
+    }
+    if (found == m_items.end())
         return false;
-    if (now < m_graceUntil) {
-        m_lapsed.emplace(key, m_graceUntil);
+    if (now < keptUntil) {
+        m_lapsed.emplace(key, keptUntil);
         return false;
     }
     m_lapsed.erase(key);
-    m_items.erase(key);
+    m_items.erase(found);
     return true;
 }
 
+Delta Mirror::changesSince(std::uint64_t revision, TimePoint now) const
+{
+    Delta delta;
+    delta.since = revision;
+    delta.watchRevision = m_revision;
+    delta.isWhole = revision == 0 || revision < m_forgottenRevision;
+    for (const auto& [key, item] : m_items) {
+        if (delta.isWhole || item.revision > revision)
+            delta.items.push_back(item);
+    }
+    for (const auto& [key, removedAt] : m_removals) {
+        if (removedAt <= revision)
+            continue;
+        const auto lapsed = m_lapsed.find(key);
+        const auto grace = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
+        delta.removals.push_back({ key, removedAt, grace });
+    }
+    return delta;
+}
+
+bool Mirror::merge(const Delta& delta, TimePoint now)
+{
+    // A delta that begins later than this copy ends would leave a gap.
+    if (!delta.isWhole && delta.since > m_revision)
+        return false;
+    bool hasChanged = false;
+    if (delta.isWhole) {
+        std::set<std::string_view> present;
+        for (const auto& item : delta.items)
+            present.insert(item.key);
+        std::vector<std::string> missing;
+        for (const auto& [key, item] : m_items) {
+            if (!present.contains(key))
+                missing.push_back(key);
+        }
+        for (const auto& key : missing)
+            hasChanged = remove(key, delta.watchRevision, now, now) || hasChanged;
+    }
+    for (const auto& item : delta.items)
+        hasChanged = store(item) || hasChanged;
+    for (const auto& removal : delta.removals)
+        hasChanged = remove(removal.key, removal.revision, now + removal.grace, now) || hasChanged;
+    m_revision = std::max(m_revision, delta.watchRevision);
+    confirm(now);
+    if (!m_isComplete && delta.isWhole) {
+        m_isComplete = true;
+        m_isListing = false;
+        hasChanged = true;
+    }
+    return hasChanged;
+}
+
 void Mirror::succeed(TimePoint provenAt, TimePoint now)
 {
     m_failure.clear();
     m_failures = 0;
     m_retry = m_options.firstRetry;
     m_nextAt = now;
-    m_lastSuccessAt = now;
+    m_lastCurrentAt = now;
     if (!m_provenAt || provenAt > *m_provenAt)
         m_provenAt = provenAt;
 }
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/Protocol.h"
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -14,6 +15,24 @@
     Duration timeout {};
 };
 
+/// @brief What changed in a copy of the published items since a revision.
+struct Delta {
+    struct Removal {
+        std::string key;
+        std::uint64_t revision = 0;
+        /// Time for which the item is still kept, because it may only have lapsed.
+        Duration grace {};
+    };
+    /// Revision after which the receiver has to be told of changes.
+    std::uint64_t since = 0;
+    /// Everything up to this revision is in the copy.
+    std::uint64_t watchRevision = 0;
+    std::vector<Item> items;
+    std::vector<Removal> removals;
+    /// The items are all there are, rather than those that changed.
+    bool isWhole = false;
+};
+
 /// @brief Keeps a copy of the published items, and how fresh it is. No I/O.
 ///
 /// One query is under way at a time: pages until the copy is whole, then watches. What is known stays through an
@@ -22,7 +41,9 @@
 public:
     struct Options {
         /// Time that a watch waits at the store.
-        Duration watchTime = std::chrono::milliseconds(1500);
+        Duration watchTime = std::chrono::milliseconds(1000);
+        /// Time between a watch that brought changes and the next, in which more of them gather.
+        Duration gatherTime = std::chrono::milliseconds(120);
         /// Time beyond which a response is no longer awaited.
         Duration responseTime = std::chrono::milliseconds(800);
         /// The same for the first query after a failure, which does not wait at the store; it doubles with each
@@ -33,6 +54,8 @@
         Duration longestRetry = std::chrono::milliseconds(400);
         /// Silence of the store that counts as an outage.
         Duration outage = std::chrono::milliseconds(2500);
+        /// Removals that are kept for other copies.
+        std::size_t keptRemovals = 4000;
         /// Time after an outage in which living entries are written again; the platform states about two seconds.
         Duration lapseGrace = std::chrono::milliseconds(2500);
     };
@@ -50,6 +73,20 @@
     void fail(std::string detail, TimePoint now);
     /// @brief Gives up the query under way, as after the process was suspended.
     void restart(TimePoint now);
+    /// @brief Another copy vouched that this one is current.
+    /// @param at time at which it was
+    void confirm(TimePoint at) { m_lastCurrentAt = std::max(m_lastCurrentAt.value_or(at), at); }
+    /// @brief Chooses whether the store is asked by this copy, or its changes come from another copy.
+    void setReading(bool isReading) { m_isReading = isReading; }
+    /// @brief Revision of the last change in this copy.
+    std::uint64_t changeRevision() const { return m_changeRevision; }
+    /// @brief Everything up to this revision is in this copy; a listing may show later changes but not all of them.
+    std::uint64_t completeRevision() const { return m_isComplete ? m_revision : 0; }
+    /// @brief What another copy lacks that is complete up to a revision.
+    Delta changesSince(std::uint64_t revision, TimePoint now) const;
+    /// @brief Takes what another copy sent.
+    /// @return whether any item changed
+    bool merge(const Delta& delta, TimePoint now);
     /// @brief Drops items whose grace time is over.
     /// @return whether any item changed
     bool tick(TimePoint now);
@@ -67,8 +104,9 @@
     bool onPage(std::string_view body, TimePoint now);
     bool onChanges(std::string_view body, TimePoint now);
     bool store(const Item& item);
-    bool remove(const std::string& key, TimePoint now);
+    bool remove(const std::string& key, std::uint64_t revision, TimePoint keptUntil, TimePoint now);
     bool finishListing(TimePoint now);
+    void noteOutage(TimePoint now);
     void succeed(TimePoint provenAt, TimePoint now);
 
     const Protocol& m_protocol;
@@ -77,6 +115,12 @@
     std::map<std::string, Item> m_items;
     /// Items that are missing after an outage, with the time until which they are kept.
     std::map<std::string, TimePoint> m_lapsed;
+    /// Revisions at which items were removed, for other copies.
+    std::map<std::string, std::uint64_t> m_removals;
+    /// Removals up to this revision were forgotten.
+    std::uint64_t m_forgottenRevision = 0;
+    std::uint64_t m_changeRevision = 0;
+    bool m_isReading = true;
     /// Items of the listing under way.
     std::map<std::string, Item> m_listed;
     std::string m_lastListed;
@@ -87,7 +131,8 @@
     bool m_isUnderWay = false;
     TimePoint m_sentAt {};
     TimePoint m_nextAt {};
-    std::optional<TimePoint> m_lastSuccessAt;
+    /// Last time at which the store, or another copy, was heard.
+    std::optional<TimePoint> m_lastCurrentAt;
     std::optional<TimePoint> m_provenAt;
     TimePoint m_graceUntil {};
     Duration m_retry {};
