Fetch prompts for runners that came later; accept once configured; try a suspended runner last

(2) after a restart of all, 78 requests in 30 ms met 503 before the configuration was there. (3) 68 requests were given up as unknown because one of three runners had failed them and the others were suspended or on trial.

Ruled out: counting every runner as young after the daemon's own start.

--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -11,6 +11,9 @@
 
     constexpr auto tickInterval = std::chrono::milliseconds(100);
     constexpr Duration sweepInterval = std::chrono::milliseconds(300);
+    /// Time after which callers are answered even if nothing is known yet. They give a connection one second; before
+    /// that, a wait of some ten milliseconds for the configuration serves them better than a refusal.
+    constexpr Duration longestStart = std::chrono::milliseconds(600);
     /// A longer gap between ticks means that the process was suspended.
     constexpr Duration suspendedThreshold = std::chrono::milliseconds(1500);
     /// Time in which the balancer is sure to have seen two failed readiness checks, one a second.
@@ -55,6 +58,7 @@
 
 void TrafficLoop::run()
 {
+    m_startedAt = currentTime();
     scheduleTick();
     m_context.run();
 }
@@ -64,12 +68,23 @@
     asio::post(m_context, [this, routes = std::move(routes)] {
         m_server.setLimits(routes->configuration().limits);
         m_router.setRoutes(routes);
+        startServing();
     });
 }
 
 void TrafficLoop::setRunners(std::vector<runners::Entry> entries)
 {
-    asio::post(m_context, [this, entries = std::move(entries)] { m_router.setRunners(entries); });
+    asio::post(m_context, [this, entries = std::move(entries)] {
+        m_router.setRunners(entries);
+        startServing();
+    });
+}
+
+void TrafficLoop::startServing()
+{
+    const bool isOverdue = currentTime() - m_startedAt > longestStart;
+    if ((m_router.hasRoutes() && m_router.hasRunners()) || isOverdue)
+        m_server.startAccepting();
 }
 
 void TrafficLoop::setSettings(const RelaySettings& settings)
@@ -123,6 +138,7 @@
     m_lastTick = now;
     if (now >= m_nextSweepAt) {
         m_nextSweepAt = now + sweepInterval;
+        startServing();
         m_server.sweep(now);
         m_router.sweep(now);
     }
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -28,6 +28,7 @@
     void beginStop(std::function<void()> ended);
 
 private:
+    void startServing();
     void scheduleTick();
     void tick(TimePoint now);
     void tickStop(TimePoint now);
@@ -38,6 +39,7 @@
     proxy::Router m_router;
     gateway::StreamServer m_server;
     StateListener m_listener;
+    TimePoint m_startedAt {};
     TimePoint m_lastTick {};
     TimePoint m_nextSweepAt {};
     std::optional<TimePoint> m_stopAt;
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -400,11 +400,16 @@
     m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
     m_acceptor.bind(endpoint);
     m_acceptor.listen(listenBacklog);
-    accept();
 }
 
 StreamServer::~StreamServer() = default;
 
+void StreamServer::startAccepting()
+{
+    if (!std::exchange(m_isAccepting, true))
+        accept();
+}
+
 void StreamServer::accept()
 {
     m_acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
--- a/src/gateway/StreamServer.h
+++ b/src/gateway/StreamServer.h
@@ -31,6 +31,8 @@
     StreamServer(const StreamServer&) = delete;
     StreamServer& operator=(const StreamServer&) = delete;
 
+    /// @brief Begins to accept; until then connections wait in the listener's queue.
+    void startAccepting();
     void setLimits(const CallerLimits& limits);
     /// @brief Ends connections that took too long; call a few times a second.
     void sweep(TimePoint now);
@@ -54,6 +56,7 @@
     std::shared_ptr<Shared> m_shared;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
+    bool m_isAccepting = false;
 };
 
 }
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -119,8 +119,8 @@
     facts.timeLeft = m_start.deadline - now;
     if (m_lastEvent > 0)
         facts.lastEvent = m_lastEvent;
-    if (placement.home && placement.home != &runner && m_affinity.sharedTokens >= leastTokensToFetch)
-        facts.fetchPromptFrom = placement.home->entry.ip + ":" + std::to_string(placement.home->entry.port);
+    if (placement.source && m_affinity.sharedTokens >= leastTokensToFetch)
+        facts.fetchPromptFrom = placement.source->entry.ip + ":" + std::to_string(placement.source->entry.port);
     const auto& request = m_start.request;
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : m_router.m_codec.encodeRequest(request.headers, facts))
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -37,6 +37,40 @@
         }
     };
 
+    double rank(const Runner& runner, const PlacementRequest& request)
+    {
+        return toUnitInterval(mix64(request.affinity, runner.identity));
+    }
+
+    /// A suspension may be wrong or over: trying is better for the caller than a refusal.
+    void takeLastResort(const Registry& registry, const PlacementRequest& request, Placement& result)
+    {
+        Best best;
+        for (auto* runner : registry.runnersOf(request.service)) {
+            if (runner->entry.isLeaving || isExcluded(*runner, request))
+                continue;
+            best.offer(runner, toSeconds(runner->suspendedUntil.time_since_epoch()), mix64(request.draw, runner->identity));
+        }
+        result.runner = best.runner;
+        result.reason = best.runner ? PlacementReason::LastResort : PlacementReason::None;
+    }
+
+    /// The runner that held the part before: the first in its order that is neither the chosen one nor new itself.
+    /// One that leaves still serves for a while, and holds what it held.
+    void findSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
+    {
+        Best first;
+        Best best;
+        for (auto* runner : registry.runnersOf(request.service)) {
+            first.offer(runner, -rank(*runner, request), 0);
+            if (runner == result.runner || now < runner->suspendedUntil || registry.isYoung(*runner, now))
+                continue;
+            best.offer(runner, -rank(*runner, request), 0);
+        }
+        if (first.runner != result.runner || registry.isYoung(*result.runner, now))
+            result.source = best.runner;
+    }
+
 }
 
 std::string_view nameOf(PlacementReason reason)
@@ -52,6 +86,8 @@
         return "least-loaded";
     case PlacementReason::Balanced:
         return "balanced";
+    case PlacementReason::LastResort:
+        return "last-resort";
     case PlacementReason::None:
         return "none";
     }
@@ -71,10 +107,12 @@
         ++result.usable;
         total += registry.load(*runner, now);
         leastLoaded.offer(runner, cost(registry, *runner, request, now), mix64(request.draw, runner->identity));
-        home.offer(runner, -toUnitInterval(mix64(request.affinity, runner->identity)), 0);
+        home.offer(runner, -rank(*runner, request), 0);
     }
-    if (result.usable == 0)
+    if (result.usable == 0) {
+        takeLastResort(registry, request, result);
         return result;
+    }
     result.bound = options.loadBound * total / static_cast<double>(result.usable) + options.loadMargin;
     result.runner = leastLoaded.runner;
     result.reason = PlacementReason::Balanced;
@@ -92,7 +130,7 @@
                 fitting = { runner, 1.0, 0 };
                 break;
             }
-            fitting.offer(runner, -toUnitInterval(mix64(request.affinity, runner->identity)), 0);
+            fitting.offer(runner, -rank(*runner, request), 0);
         }
         if (fitting.runner) {
             result.runner = fitting.runner;
@@ -101,6 +139,8 @@
                                                 : PlacementReason::Spilled;
         }
     }
+    if (request.affinity != 0)
+        findSource(registry, request, now, result);
     result.load = registry.load(*result.runner, now);
     return result;
 }
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -34,6 +34,8 @@
     LeastLoaded,
     /// Nothing is shared; the least loaded one.
     Balanced,
+    /// Every runner is suspended; the one that may be back first.
+    LastResort,
     /// No runner can take the request.
     None,
 };
@@ -43,8 +45,10 @@
 /// @brief A placement with the figures that explain it.
 struct Placement {
     Runner* runner = nullptr;
-    /// First usable choice of the shared part; it probably holds the part.
+    /// First usable choice of the shared part.
     Runner* home = nullptr;
+    /// Runner from which the chosen one should fetch the shared part, if it probably lacks it; null otherwise.
+    Runner* source = nullptr;
     PlacementReason reason = PlacementReason::None;
     double load = 0.0;
     double bound = 0.0;
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -36,6 +36,8 @@
         removed(runner->first);
         runner = m_runners.erase(runner);
     }
+    if (!m_firstListedAt && !entries.empty())
+        m_firstListedAt = now;
     for (const auto& entry : entries) {
         auto& runner = m_runners[entry.id];
         if (!runner) {
@@ -74,6 +76,12 @@
     return runner.suspendedByPeers == 0 || accusers < 2 || now - runner.servedAt < m_options.ownWord;
 }
 
+bool Registry::isYoung(const Runner& runner, TimePoint now) const
+{
+    const bool wasThereBefore = !m_firstListedAt || runner.seenSince - *m_firstListedAt < m_options.firstListing;
+    return !wasThereBefore && now - runner.seenSince < m_options.youth;
+}
+
 double Registry::load(const Runner& runner, TimePoint now) const
 {
     const double known = runner.knownLoad();
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -22,12 +23,16 @@
     /// Failure rate above the mean of the service at which a runner is suspended.
     double excessFailureRate = 0.25;
     /// Requests before a failure rate means anything.
-    double samplesForRate = 6.0;
+    double samplesForRate = 10.0;
     Duration failureSuspension = std::chrono::seconds(3);
     /// A runner that served this lately is not avoided on the word of others.
     Duration ownWord = std::chrono::milliseconds(300);
     /// Largest share of a service's runners that may be suspended.
     double maximumSuspendedShare = 0.5;
+    /// Time in which a runner that came counts as young: it lacks the prompts that the others hold.
+    Duration youth = std::chrono::seconds(15);
+    /// Time after the first listing in which runners are taken to have been there before.
+    Duration firstListing = std::chrono::seconds(5);
     /// Age at which a reported load is no longer used.
     Duration reportLifetime = std::chrono::milliseconds(1000);
 };
@@ -50,6 +55,8 @@
 
     /// @brief Whether new requests may go to a runner.
     bool isUsable(const Runner& runner, TimePoint now) const;
+    /// @brief Whether a runner came lately, after this daemon had known the others for a while.
+    bool isYoung(const Runner& runner, TimePoint now) const;
     /// @brief Requests under way at a runner: what daemons know of each other, or its own word where that is more.
     double load(const Runner& runner, TimePoint now) const;
 
@@ -79,6 +86,7 @@
     double meanFailureRate(const Runner& except) const;
 
     RegistryOptions m_options;
+    std::optional<TimePoint> m_firstListedAt;
     std::map<std::string, std::unique_ptr<Runner>, std::less<>> m_runners;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
 };
--- a/tests/gateway/StreamServerTest.cpp
+++ b/tests/gateway/StreamServerTest.cpp
@@ -19,6 +19,8 @@
             responders.push_back(responder);
         } };
 
+    Fixture() { server.startAccepting(); }
+
     void awaitRequests(std::size_t count)
     {
         runUntil(context, [&] { return requests.size() >= count; });
@@ -160,3 +162,19 @@
     CHECK(caller->has("Connection: close"));
     CHECK(caller->has("last"));
 }
+
+TEST_CASE("connections wait until the server accepts, and are served then")
+{
+    asio::io_context context;
+    const auto port = tests::freePort(context);
+    gateway::StreamServer server(context, "127.0.0.1", port, daemon::currentTime,
+        [](const gateway::HttpRequest&, const std::shared_ptr<gateway::Responder>& responder) {
+            responder->respond({ 200, {}, "served" });
+        });
+    const auto caller = Peer::connect(context, port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    context.poll();
+    CHECK(server.connections() == 0);
+    server.startAccepting();
+    runUntil(context, [&] { return caller->has("served"); });
+}
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -79,6 +79,7 @@
         router.setRoutes(routes());
         router.setRunners(std::vector<runners::Entry> { entry("r-1", first.port()), entry("r-2", second.port()) });
         router.proveContact(proven);
+        server.startAccepting();
     }
 
     static proxy::RouterOptions options()
--- a/tests/runners/PlacementTest.cpp
+++ b/tests/runners/PlacementTest.cpp
@@ -94,6 +94,56 @@
     CHECK(fleet.place(7, all).runner == nullptr);
 }
 
+TEST_CASE("where every runner is suspended, one is tried rather than the request refused")
+{
+    // As on a day of high load: one runner of three failed a lookup, and the two others were suspended.
+    Fleet fleet(3);
+    const std::vector<std::string> excluded { "r-0" };
+    fleet.registry.find("r-1")->suspendedUntil = start + std::chrono::seconds(3);
+    fleet.registry.find("r-2")->suspendedUntil = start + std::chrono::seconds(1);
+    const auto placement = fleet.place(0, excluded);
+    CHECK(placement.reason == PlacementReason::LastResort);
+    CHECK(placement.runner->entry.id == "r-2");
+}
+
+TEST_CASE("a spilled request fetches its part from the first choice, also right after the daemon started")
+{
+    Fleet fleet(18);
+    CHECK(fleet.place(5).source == nullptr);
+    for (int i = 0; i < 3; ++i)
+        fleet.registry.dispatched(*fleet.place(5).home);
+    const auto spilled = fleet.place(5);
+    CHECK(spilled.reason == PlacementReason::Spilled);
+    CHECK(spilled.source == spilled.home);
+}
+
+TEST_CASE("a new runner fetches a part from the runner that held it, also from one that leaves")
+{
+    const auto later = start + std::chrono::seconds(60);
+    Fleet fleet(18);
+    const auto* before = fleet.place(5).runner;
+    const auto id = before->entry.id;
+    for (auto& entry : fleet.entries)
+        entry.isLeaving = entry.id == id;
+    fleet.registry.apply(fleet.entries, later, [](const std::string&) {});
+    runners::PlacementRequest request;
+    request.service = "pool";
+    request.affinity = 5;
+    const auto moved = runners::place(fleet.registry, request, {}, later);
+    CHECK(moved.runner->entry.id != id);
+    REQUIRE(moved.source);
+    CHECK(moved.source->entry.id == id);
+    for (auto& entry : fleet.entries)
+        entry.isLeaving = false;
+    for (int i = 100; i < 160; ++i)
+        fleet.entries.push_back({ "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, "a", 64, false, 1 });
+    fleet.registry.apply(fleet.entries, later, [](const std::string&) {});
+    const auto young = runners::place(fleet.registry, request, {}, later);
+    REQUIRE(young.runner->seenSince == later);
+    REQUIRE(young.source);
+    CHECK(young.source->entry.id == id);
+}
+
 TEST_CASE("a session that comes back meets the runner that served it")
 {
     Fleet fleet(18);
