Bound the log and never wait for it; serve the relay's metrics

Lines gather in half a megabyte and leave when standard output takes them; more is dropped and counted. Plain requests are skipped beyond 150 lines a second. Adds gauges, totals and a latency histogram by outcome, on an address of their own as well.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -16,6 +16,8 @@
     constexpr Duration suspendedThreshold = std::chrono::milliseconds(1500);
     /// Settings may change without a signal.
     constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
+    constexpr Duration reportInterval = std::chrono::milliseconds(300);
+    constexpr Duration metricsInterval = std::chrono::seconds(2);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
     std::string readFile(const std::string& path)
@@ -45,6 +47,7 @@
           gateway::AdminServer::Sources {
               [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } },
           settings.readinessPath)
+    , m_metricsServer(makeMetricsServer(settings))
     , m_fleet(m_context, settings, m_random(), m_mirror, m_client,
           { [this] { publish(); },
               [this](std::vector<dispatch::CrashRecord> records) { m_traffic.learnCrashes(std::move(records)); } })
@@ -57,6 +60,15 @@
     });
 }
 
+std::unique_ptr<gateway::AdminServer> ControlLoop::makeMetricsServer(const RelaySettings& settings)
+{
+    if (!settings.metrics)
+        return nullptr;
+    return std::make_unique<gateway::AdminServer>(m_context, settings.metrics->ip, settings.metrics->port,
+        gateway::AdminServer::Sources { [this] { return isReady(); }, [this] { return m_metrics.serialize(); },
+            [this] { return statusJson(); } });
+}
+
 void ControlLoop::run()
 {
     waitForSignal();
@@ -91,6 +103,14 @@
     noteContact(now);
     if (const auto next = m_mirror.next(now))
         query(*next);
+    if (now >= m_nextReportAt) {
+        m_nextReportAt = now + reportInterval;
+        telemetry::flushLog();
+    }
+    if (now >= m_nextMetricsAt) {
+        m_nextMetricsAt = now + metricsInterval;
+        updateMetrics(now);
+    }
     if (now >= m_nextSettingsCheckAt) {
         m_nextSettingsCheckAt = now + settingsCheckInterval;
         if (readFile(m_settingsPath) != m_settingsText)
@@ -198,6 +218,22 @@
     m_traffic.setRunners(std::move(entries));
 }
 
+void ControlLoop::updateMetrics(TimePoint now)
+{
+    const auto& socket = m_fleet.socket();
+    m_metrics.setGauge("eelgrassford_configuration_revision", static_cast<double>(m_configurationRevision));
+    m_metrics.setGauge("eelgrassford_ready", isReady() ? 1.0 : 0.0);
+    m_metrics.setGauge("eelgrassford_proof_age_seconds", m_provenAt ? toSeconds(now - *m_provenAt) : -1.0);
+    m_metrics.setGauge("eelgrassford_members_heard", static_cast<double>(m_fleet.members().heard(now)));
+    m_metrics.setGauge("eelgrassford_store_reader", m_fleet.isReader(now) ? 1.0 : 0.0);
+    m_metrics.setTotal("eelgrassford_store_queries_total", static_cast<double>(m_mirror.queries()));
+    m_metrics.setTotal("eelgrassford_peer_fetches_total", static_cast<double>(m_fleet.fetches()));
+    m_metrics.setTotal("eelgrassford_fleet_sent_bytes_total", static_cast<double>(socket.sentBytes()));
+    m_metrics.setTotal("eelgrassford_fleet_received_bytes_total", static_cast<double>(socket.receivedBytes()));
+    m_metrics.setTotal("eelgrassford_fleet_rejected_total", static_cast<double>(socket.rejected()));
+    m_metrics.setTotal("eelgrassford_log_dropped_total", static_cast<double>(telemetry::droppedLines()));
+}
+
 void ControlLoop::reloadSettings(const char* trigger)
 {
     m_settingsText = readFile(m_settingsPath);
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -28,6 +28,8 @@
     void publishConfiguration(const store::Item& item);
     void publishRunners();
     void noteContact(TimePoint now);
+    void updateMetrics(TimePoint now);
+    std::unique_ptr<gateway::AdminServer> makeMetricsServer(const RelaySettings& settings);
     void reloadSettings(const char* trigger);
     void waitForSignal();
     void beginStop();
@@ -47,6 +49,8 @@
     upstream::CurlClient m_client;
     store::Mirror m_mirror;
     gateway::AdminServer m_admin;
+    /// Serves the metrics on an address of their own, where the settings name one.
+    std::unique_ptr<gateway::AdminServer> m_metricsServer;
     FleetLink m_fleet;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
@@ -56,6 +60,8 @@
     upstream::CallId m_call = 0;
     TimePoint m_lastTick {};
     TimePoint m_nextSettingsCheckAt {};
+    TimePoint m_nextReportAt {};
+    TimePoint m_nextMetricsAt {};
     bool m_hasFailed = true;
     bool m_isStopping = false;
 };
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -22,7 +22,7 @@
         std::cerr << "eelgrassfordd: " << settings.error().message() << "\n";
         return settingsErrorExitCode;
     }
-    telemetry::startLogging(logLevel);
+    telemetry::startBoundedLogging(logLevel);
     try {
         telemetry::Metrics metrics;
         TrafficLoop traffic(*settings, adapter.headers, metrics);
@@ -35,6 +35,7 @@
         traffic.end();
         trafficThread.join();
         telemetry::logInfo("stop", {});
+        telemetry::flushLog();
     } catch (const std::exception& error) {
         telemetry::logError("start-failure", { { "detail", error.what() } });
         std::cerr << "eelgrassfordd: " << error.what() << "\n";
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -114,6 +114,8 @@
     settings.callers = reader.address("listen.callers");
     settings.admin = reader.address("listen.admin");
     settings.readinessPath = reader.optionalText("listen.readiness_path", settings.readinessPath);
+    if (document.at_path("listen.metrics"))
+        settings.metrics = reader.address("listen.metrics");
     settings.store = reader.address("store.address");
     settings.fleetPort = static_cast<std::uint16_t>(reader.number("fleet.port", 0, 0, 65535));
     settings.seeds = reader.texts("fleet.seeds");
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "common/Address.h"
 #include "common/Time.h"
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -18,6 +19,8 @@
     Address callers;
     Address admin;
     std::string readinessPath = "/readyz";
+    /// Address for metrics alone, beside those on the admin address.
+    std::optional<Address> metrics;
     Address store;
     /// UDP port on which daemons tell each other their load, the same on every host.
     std::uint16_t fleetPort = 0;
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr auto tickInterval = std::chrono::milliseconds(100);
+    constexpr Duration metricsInterval = std::chrono::seconds(2);
     constexpr Duration sweepInterval = std::chrono::milliseconds(300);
     /// Time after which callers are answered even if nothing is known yet. They give a connection one second; before
     /// that, a wait of some ten milliseconds for the configuration serves them better than a refusal.
@@ -142,6 +143,10 @@
         m_server.sweep(now);
         m_router.sweep(now);
     }
+    if (now >= m_nextMetricsAt) {
+        m_nextMetricsAt = now + metricsInterval;
+        m_router.updateMetrics(now);
+    }
     if (m_listener)
         m_listener(m_router.runnerStates(now), m_router.crashRecords());
     if (m_stopAt && m_ended)
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -42,6 +42,7 @@
     TimePoint m_startedAt {};
     TimePoint m_lastTick {};
     TimePoint m_nextSweepAt {};
+    TimePoint m_nextMetricsAt {};
     std::optional<TimePoint> m_stopAt;
     std::function<void()> m_ended;
 };
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -42,6 +42,7 @@
     , m_random(std::random_device {}())
     , m_registry(options.registry)
     , m_prompts(options.rememberedSessions)
+    , m_plainLines(options.plainLinesPerSecond)
     , m_startedAt(m_clock())
 {
 }
@@ -215,7 +216,13 @@
 
 void Router::setRunners(std::span<const runners::Entry> entries)
 {
-    m_registry.apply(entries, m_clock(), [this](const std::string& id) { m_pools.erase(id); });
+    m_registry.apply(entries, m_clock(), [this](const std::string& id) {
+        const auto pool = m_pools.find(id);
+        if (pool == m_pools.end())
+            return;
+        m_pastConnections[m_registry.find(id)->entry.service] += pool->second->opened();
+        m_pools.erase(pool);
+    });
 }
 
 void Router::proveContact(TimePoint provenAt)
@@ -232,10 +239,39 @@
 void Router::sweep(TimePoint now)
 {
     m_crashes.tick(now);
+    if (const auto skipped = m_plainLines.takeSkipped())
+        telemetry::logInfo("lines-skipped", { { "plain_requests", skipped } });
     for (auto& [id, pool] : m_pools)
         pool->sweep(now);
 }
 
+void Router::updateMetrics(TimePoint now)
+{
+    m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(m_underWay));
+    std::map<std::string, std::map<std::string, double>> states;
+    auto connections = m_pastConnections;
+    for (const auto& [id, runner] : m_registry.runners()) {
+        const auto& service = runner->entry.service;
+        auto& counts = states[service];
+        const bool isSuspended = now < runner->suspendedUntil;
+        for (const auto& [state, isIn] : { std::pair { "leaving", runner->entry.isLeaving },
+                 { "suspended", !runner->entry.isLeaving && isSuspended },
+                 { "usable", !runner->entry.isLeaving && !isSuspended } })
+            counts[state] += isIn ? 1.0 : 0.0;
+        const auto pool = m_pools.find(id);
+        connections[service] += pool == m_pools.end() ? 0 : pool->second->opened();
+    }
+    for (const auto& [service, counts] : states) {
+        for (const auto& [state, count] : counts)
+            m_metrics.setGauge("eelgrassford_runners", count, { { "service", service }, { "state", state } });
+    }
+    for (const auto& [service, count] : connections)
+        m_metrics.setTotal(
+            "eelgrassford_runner_connections_total", static_cast<double>(count), { { "service", service } });
+    for (auto& [service, budget] : m_budgets)
+        m_metrics.setGauge("eelgrassford_retries_left", budget.remaining(now), { { "service", service } });
+}
+
 void Router::wakeUp(TimePoint now)
 {
     telemetry::logWarning("process-resumed", { { "uptime_s", toSeconds(now - m_startedAt) } });
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -9,6 +9,7 @@
 #include "routing/RouteTable.h"
 #include "runners/Placement.h"
 #include "runners/Registry.h"
+#include "telemetry/LineBudget.h"
 #include "telemetry/Metrics.h"
 #include "upstream/ConnectionPool.h"
 #include <asio.hpp>
@@ -35,6 +36,8 @@
     double patienceFactor = 3.0;
     /// Sessions whose last runner is remembered; a session takes about 150 bytes.
     std::size_t rememberedSessions = 20000;
+    /// Log lines of plain requests in a second; a busy daemon of the target size serves 76 requests.
+    std::uint32_t plainLinesPerSecond = 150;
 };
 
 /// @brief Everything that decides on relayed requests on one traffic thread. Not safe to share between threads.
@@ -66,6 +69,9 @@
     /// @brief The process was suspended: kept connections may be dead.
     void wakeUp(TimePoint now);
 
+    /// @brief Brings the gauges of this loop up to date.
+    void updateMetrics(TimePoint now);
+
     bool hasRoutes() const { return m_routes != nullptr; }
     bool hasRunners() const { return !m_registry.runners().empty(); }
     bool isCredentialLeaseValid(TimePoint now) const;
@@ -108,9 +114,12 @@
     runners::Registry m_registry;
     std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_pools;
     std::map<std::string, dispatch::WindowedRetryBudget> m_budgets;
+    /// Connections opened to runners that are gone, by service.
+    std::map<std::string, std::uint64_t> m_pastConnections;
     PromptIndex m_prompts;
     dispatch::CrashRegistry m_crashes;
     std::optional<TimePoint> m_stopBy;
+    telemetry::LineBudget m_plainLines;
     std::optional<TimePoint> m_provenAt;
     TimePoint m_startedAt;
     std::size_t m_underWay = 0;
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -411,20 +411,33 @@
         return;
     m_timer.cancel();
     const auto now = m_router.now();
+    const auto elapsed = now - m_start.arrivedAt;
     m_router.m_metrics.countOutcome(std::string(outcome));
-    if (outcome == "answered")
-        m_router.m_crashes.recordServed(m_start.digest);
+    m_router.m_metrics.observeRequest(std::string(outcome), toSeconds(elapsed));
     if (m_firstByteAt)
         m_router.m_metrics.observeFirstByte(toSeconds(*m_firstByteAt - m_start.arrivedAt));
+    if (outcome == "answered")
+        m_router.m_crashes.recordServed(m_start.digest);
+    log(outcome, status, detail, now);
+    m_responder.reset();
+}
+
+void Session::log(std::string_view outcome, std::uint16_t status, std::string_view detail, TimePoint now) const
+{
+    // Only requests that went well at once may be skipped under load.
+    const bool isPlain = outcome == "answered" && m_plan.attempts() == 1;
+    if (isPlain && !m_router.m_plainLines.tryTake(now))
+        return;
+    const double firstByte = m_firstByteAt ? milliseconds(*m_firstByteAt - m_start.arrivedAt) : -1.0;
     telemetry::logInfo("request",
         { { "request", m_start.facts.attemptId }, { "route", m_start.route->name },
             { "revision", m_start.routes->revision() }, { "organisation", m_start.organisation },
             { "service", m_start.service }, { "runner", m_lastRunner }, { "attempts", m_plan.attempts() },
             { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
             { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usable) },
-            { "status", static_cast<int>(status) }, { "outcome", outcome },
-            { "ms", milliseconds(now - m_start.arrivedAt) }, { "detail", detail } });
-    m_responder.reset();
+            { "fetched", m_placement.source != nullptr }, { "status", static_cast<int>(status) },
+            { "outcome", outcome }, { "first_byte_ms", firstByte }, { "ms", milliseconds(now - m_start.arrivedAt) },
+            { "detail", detail } });
 }
 
 }
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -66,6 +66,7 @@
     void answerNotRun(std::string_view detail);
     void answerUnknown(std::uint16_t status, std::string_view detail);
     void finish(std::string_view outcome, std::uint16_t status, std::string_view detail);
+    void log(std::string_view outcome, std::uint16_t status, std::string_view detail, TimePoint now) const;
     dispatch::RelayPlan::Budget budget(TimePoint now);
 
     Router& m_router;
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -49,7 +49,8 @@
         for (auto* runner : registry.runnersOf(request.service)) {
             if (runner->entry.isLeaving || isExcluded(*runner, request))
                 continue;
-            best.offer(runner, toSeconds(runner->suspendedUntil.time_since_epoch()), mix64(request.draw, runner->identity));
+            best.offer(
+                runner, toSeconds(runner->suspendedUntil.time_since_epoch()), mix64(request.draw, runner->identity));
         }
         result.runner = best.runner;
         result.reason = best.runner ? PlacementReason::LastResort : PlacementReason::None;
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -159,7 +159,8 @@
     bool hasChanged = false;
     for (const auto& change : changes->changes) {
         const auto& item = change.item;
-        hasChanged = (change.isRemoved ? remove(item.key, item.revision, m_graceUntil, now) : store(item)) || hasChanged;
+        hasChanged
+            = (change.isRemoved ? remove(item.key, item.revision, m_graceUntil, now) : store(item)) || hasChanged;
     }
     m_revision = std::max(m_revision, changes->storeRevision);
     // A watch that waited its whole time and found nothing proves that nothing had changed by then.
@@ -225,7 +226,8 @@
         if (removedAt <= revision)
             continue;
         const auto lapsed = m_lapsed.find(key);
-        const auto grace = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
+        const auto grace
+            = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
         delta.removals.push_back({ key, removedAt, grace });
     }
     return delta;
--- a/src/telemetry/DecisionLog.cpp
+++ b/src/telemetry/DecisionLog.cpp
@@ -1,13 +1,25 @@
 #include "telemetry/DecisionLog.h"
 
+#include "telemetry/BoundedSink.h"
 #include <fmt/format.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace eelgrassford::telemetry {
 
 namespace {
 
+    constexpr const char* linePattern = "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v";
+    /// Most bytes of lines that wait for standard output; some seconds at the highest load.
+    constexpr std::size_t pendingLimit = 512u << 10;
+
+    std::shared_ptr<BoundedSink>& boundedSink()
+    {
+        static std::shared_ptr<BoundedSink> sink;
+        return sink;
+    }
+
     bool isPlain(std::string_view value)
     {
         return !value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos;
@@ -68,12 +80,26 @@
 void startLogging(const std::string& level)
 {
     auto logger = spdlog::stdout_logger_mt("eelgrassford");
-    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
+    logger->set_pattern(linePattern, spdlog::pattern_time_type::utc);
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+void startBoundedLogging(const std::string& level)
+{
+    boundedSink() = std::make_shared<BoundedSink>(STDOUT_FILENO, pendingLimit);
+    auto logger = std::make_shared<spdlog::logger>("eelgrassford", boundedSink());
+    logger->set_pattern(linePattern, spdlog::pattern_time_type::utc);
+    logger->set_level(spdlog::level::from_str(level));
+    logger->flush_on(spdlog::level::err);
+    spdlog::set_default_logger(logger);
+}
+
+void flushLog() { spdlog::default_logger_raw()->flush(); }
+
+std::uint64_t droppedLines() { return boundedSink() ? boundedSink()->dropped() : 0; }
+
 void logDebug(std::string_view event, Fields fields) { write(spdlog::level::debug, event, fields); }
 void logInfo(std::string_view event, Fields fields) { write(spdlog::level::info, event, fields); }
 void logWarning(std::string_view event, Fields fields) { write(spdlog::level::warn, event, fields); }
--- a/src/telemetry/DecisionLog.h
+++ b/src/telemetry/DecisionLog.h
@@ -42,6 +42,14 @@
 /// @param level "debug", "info", "warn" or "error"
 void startLogging(const std::string& level);
 
+/// @brief Sets up logging that never waits for its reader: lines are kept up to a bound until flushLog() writes them.
+/// @param level "debug", "info", "warn" or "error"
+void startBoundedLogging(const std::string& level);
+/// @brief Writes what standard output takes now.
+void flushLog();
+/// @brief Lines that were dropped because standard output did not keep up.
+std::uint64_t droppedLines();
+
 void logDebug(std::string_view event, Fields fields);
 void logInfo(std::string_view event, Fields fields);
 void logWarning(std::string_view event, Fields fields);
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -38,6 +38,12 @@
         { "eelgrassford_requests_running", "Admitted requests under way" },
         { "eelgrassford_requests_queued", "Requests waiting for admission" },
         { "eelgrassford_quarantined_requests", "Request digests in quarantine" },
+        { "eelgrassford_relayed_requests", "Relayed requests under way" },
+        { "eelgrassford_proof_age_seconds", "Age of the newest proof that the configuration in force is current" },
+        { "eelgrassford_members_heard", "Daemons heard of lately" },
+        { "eelgrassford_store_reader", "1 when this daemon reads the store itself" },
+        { "eelgrassford_runners", "Runners of a service by state" },
+        { "eelgrassford_retries_left", "Repeats that the budget of a service allows now" },
         { "eelgrassford_placement_exceptions", "Chats remembered away from their first choice" },
     };
 
@@ -47,6 +53,13 @@
         { "eelgrassford_peer_sent_messages_total", "Messages sent to other daemons by kind" },
         { "eelgrassford_peer_rejected_frames_total", "Frames from peers that failed authentication or decoding" },
         { "eelgrassford_peer_dropped_frames_total", "Frames dropped because a peer did not keep up" },
+        { "eelgrassford_store_queries_total", "Queries to the store" },
+        { "eelgrassford_peer_fetches_total", "Fetches of published changes from other daemons" },
+        { "eelgrassford_fleet_sent_bytes_total", "Bytes of datagrams sent to other daemons" },
+        { "eelgrassford_fleet_received_bytes_total", "Bytes of datagrams received from other daemons" },
+        { "eelgrassford_fleet_rejected_total", "Datagrams that could not be read" },
+        { "eelgrassford_log_dropped_total", "Log lines that standard output did not take in time" },
+        { "eelgrassford_runner_connections_total", "Connections opened to runners of a service" },
         { "eelgrassford_platform_calls_total",
             "Calls to the configuration service and host list, waiting watches included" },
         { "eelgrassford_configuration_conflicts_total", "Offers of the revision in force with other content" },
@@ -68,6 +81,10 @@
           "Prompt tokens placed on a runner that probably holds them")
                            .Add({}))
     , m_promptTokens(counterFamily(*m_registry, "eelgrassford_prompt_tokens_total", "Prompt tokens placed").Add({}))
+    , m_latency(prometheus::BuildHistogram()
+                    .Name("eelgrassford_request_seconds")
+                    .Help("Time from the arrival of a relayed request to the end of its answer, by outcome")
+                    .Register(*m_registry))
     , m_firstByte(prometheus::BuildHistogram()
                       .Name("eelgrassford_first_byte_seconds")
                       .Help("Time from the arrival of a request to the first byte of its answer")
@@ -80,6 +97,11 @@
         m_totals[name] = &counterFamily(*m_registry, name, help);
 }
 
+void Metrics::observeRequest(const std::string& outcome, double seconds)
+{
+    m_latency.Add({ { "outcome", outcome } }, firstByteBuckets).Observe(seconds);
+}
+
 void Metrics::setGauge(const std::string& name, double value, const Labels& labels)
 {
     m_gauges.at(name)->Add(labels).Set(value);
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -17,7 +17,7 @@
 
     Metrics();
 
-    /// @brief Counts a finished request by outcome: answered, not-run, unknown, invalid or cancelled.
+    /// @brief Counts a finished request by outcome: such as answered, not-run or unknown.
     void countOutcome(const std::string& outcome) { m_outcomes.Add({ { "outcome", outcome } }).Increment(); }
     void countPlacement(const std::string& model, const std::string& reason)
     {
@@ -30,6 +30,8 @@
         m_reusableTokens.Increment(reusable);
         m_promptTokens.Increment(prompt);
     }
+    /// @brief Observes how long a relayed request took.
+    void observeRequest(const std::string& outcome, double seconds);
     void observeFirstByte(double seconds) { m_firstByte.Observe(seconds); }
     /// @brief Sets a gauge; @a labels tell its instances apart.
     void setGauge(const std::string& name, double value, const Labels& labels = {});
@@ -47,6 +49,7 @@
     prometheus::Counter& m_droppedAnswers;
     prometheus::Counter& m_reusableTokens;
     prometheus::Counter& m_promptTokens;
+    prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Histogram& m_firstByte;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> m_gauges;
     std::map<std::string, prometheus::Family<prometheus::Counter>*> m_totals;
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -1,5 +1,5 @@
-#include "store/DeltaCodec.h"
 #include "store/Mirror.h"
+#include "store/DeltaCodec.h"
 
 #include <doctest/doctest.h>
 
