Probe runners that fall silent; hold silence against a runner that is silent more than others

Bytes per runner are watched now: a silent one is probed by an empty connection, and its requests end when it is unreachable. Silence beyond the patience counts like a failure, against the others' mean, so that overload suspends nobody.

--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -245,9 +245,43 @@
         pool->sweep(now);
 }
 
+void Router::checkSilence(TimePoint now)
+{
+    for (auto* silent : m_registry.silentRunners(now)) {
+        silent->isProbed = true;
+        const auto silence = now - silent->heardAt;
+        poolOf(*silent).probe([this, id = silent->entry.id, silence](bool isReachable) {
+            auto* runner = m_registry.find(id);
+            if (!runner)
+                return;
+            const auto time = m_clock();
+            runner->isProbed = false;
+            m_registry.heard(*runner, time);
+            telemetry::logInfo("silent-runner-probed",
+                { { "runner", id }, { "reachable", isReachable }, { "silence_ms", toSeconds(silence) * 1000.0 },
+                    { "requests", runner->ownLoad } });
+            if (isReachable)
+                return;
+            m_registry.observe(*runner, runners::Observation::CannotConnect, time);
+            abandon(id);
+        });
+    }
+}
+
+void Router::abandon(const std::string& runner)
+{
+    std::vector<std::shared_ptr<Session>> waiting;
+    for (auto* session : m_sessions) {
+        if (session->isWaitingFor(runner))
+            waiting.push_back(session->shared_from_this());
+    }
+    for (const auto& session : waiting)
+        session->onRunnerDead();
+}
+
 void Router::updateMetrics(TimePoint now)
 {
-    m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(m_underWay));
+    m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(m_sessions.size()));
     std::map<std::string, std::map<std::string, double>> states;
     auto connections = m_pastConnections;
     for (const auto& [id, runner] : m_registry.runners()) {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -16,10 +16,13 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace eelgrassford::proxy {
 
+class Session;
+
 /// @brief Figures that decide how requests are relayed.
 struct RouterOptions {
     std::string host;
@@ -33,7 +36,9 @@
     /// Silence between events of a resumable stream after which it goes on elsewhere.
     Duration streamSilence = std::chrono::milliseconds(1200);
     /// Multiple of the route's latency objective after which an unanswered repeatable request is tried elsewhere.
-    double patienceFactor = 3.0;
+    double patienceFactor = 2.0;
+    /// Largest part of the time of a request that the first runner may be silent.
+    double patienceShare = 0.5;
     /// Sessions whose last runner is remembered; a session takes about 150 bytes.
     std::size_t rememberedSessions = 20000;
     /// Log lines of plain requests in a second; a busy daemon of the target size serves 76 requests.
@@ -69,17 +74,22 @@
     /// @brief The process was suspended: kept connections may be dead.
     void wakeUp(TimePoint now);
 
+    /// @brief Probes runners that fell silent under requests, so that these need not wait for a dead one.
+    void checkSilence(TimePoint now);
     /// @brief Brings the gauges of this loop up to date.
     void updateMetrics(TimePoint now);
 
     bool hasRoutes() const { return m_routes != nullptr; }
     bool hasRunners() const { return !m_registry.runners().empty(); }
     bool isCredentialLeaseValid(TimePoint now) const;
-    std::size_t underWay() const { return m_underWay; }
+    std::size_t underWay() const { return m_sessions.size(); }
 
 private:
     friend class Session;
 
+    /// A runner could not be reached: nothing more is expected of it.
+    void abandon(const std::string& runner);
+
     struct Refusal {
         std::uint16_t status = 503;
         const char* reason = "";
@@ -122,7 +132,7 @@
     telemetry::LineBudget m_plainLines;
     std::optional<TimePoint> m_provenAt;
     TimePoint m_startedAt;
-    std::size_t m_underWay = 0;
+    std::set<Session*> m_sessions;
 };
 
 }
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -54,10 +54,10 @@
     , m_timer(router.m_context)
     , m_lastEvent(m_start.facts.lastEvent.value_or(0))
 {
-    ++m_router.m_underWay;
+    m_router.m_sessions.insert(this);
 }
 
-Session::~Session() { --m_router.m_underWay; }
+Session::~Session() { m_router.m_sessions.erase(this); }
 
 void Session::run()
 {
@@ -91,7 +91,7 @@
         return;
     }
     m_plan.beginAttempt();
-    m_router.m_registry.dispatched(*runner);
+    m_router.m_registry.dispatched(*runner, now);
     m_lastRunner = runner->entry.id;
     m_attempt = std::make_unique<Attempt>();
     m_attempt->runner = runner->entry.id;
@@ -140,6 +140,8 @@
     attempt.hasHead = true;
     attempt.progressAt = m_router.now();
     auto* runner = m_router.m_registry.find(attempt.runner);
+    if (runner)
+        m_router.m_registry.heard(*runner, attempt.progressAt);
     if (runner && attempt.facts.load)
         m_router.m_registry.report(*runner, *attempt.facts.load, attempt.progressAt);
     attempt.isStreaming = m_start.route->kind == routing::RequestKind::Stream && isSuccess(head.status)
@@ -150,6 +152,8 @@
 {
     auto& attempt = *m_attempt;
     attempt.progressAt = m_router.now();
+    if (auto* runner = m_router.m_registry.find(attempt.runner))
+        m_router.m_registry.heard(*runner, attempt.progressAt);
     if (attempt.isStreaming) {
         attempt.events.feed(bytes);
         relayEvents();
@@ -323,12 +327,13 @@
 
 std::optional<TimePoint> Session::patienceEnd() const
 {
-    if (!m_attempt || !m_start.route->isRepeatable())
+    if (!m_attempt || m_attempt->isBlamed)
         return std::nullopt;
     if (m_hasBegun)
         return m_attempt->progressAt + m_router.m_options.streamSilence;
-    return m_attempt->sentAt
-        + fromSeconds(toSeconds(m_start.route->latencyObjective) * m_router.m_options.patienceFactor);
+    const auto patience = toSeconds(m_start.route->latencyObjective) * m_router.m_options.patienceFactor;
+    const auto allowed = toSeconds(m_start.deadline - m_start.arrivedAt);
+    return m_attempt->sentAt + fromSeconds(std::min(patience, allowed * m_router.m_options.patienceShare));
 }
 
 void Session::armTimer()
@@ -378,16 +383,43 @@
         follow(m_hasBegun ? RelayStep::SendRest : RelayStep::SendAgain, "the runner is silent");
         return;
     }
+    if (isDueElsewhere(now))
+        blame(now);
     armTimer();
 }
 
+void Session::onRunnerDead()
+{
+    if (m_isFinished || !m_attempt)
+        return;
+    upstream::ConnectionPool::cancel(m_attempt->handle);
+    fail(AttemptFailure::Broken, Observation::None, "the runner cannot be reached");
+}
+
+void Session::blame(TimePoint now)
+{
+    // A request that may not run elsewhere waits on, but others should not meet the same silence.
+    m_attempt->isBlamed = true;
+    auto* runner = m_router.m_registry.find(m_attempt->runner);
+    if (!runner)
+        return;
+    const bool isSuspended = m_router.m_registry.observe(*runner, Observation::Silent, now);
+    telemetry::logInfo("runner-silent",
+        { { "request", m_start.facts.attemptId }, { "runner", m_attempt->runner },
+            { "silence_ms", milliseconds(now - m_attempt->progressAt) }, { "failure_rate", runner->failureRate() },
+            { "suspended", isSuspended } });
+}
+
 void Session::onCallerGone()
 {
     if (m_isFinished)
         return;
     if (m_attempt) {
+        const auto now = m_router.now();
+        if (isDueElsewhere(now))
+            blame(now);
         upstream::ConnectionPool::cancel(m_attempt->handle);
-        endAttempt(Observation::None, m_router.now());
+        endAttempt(Observation::None, now);
     }
     finish("caller-left", 0, {});
 }
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -29,6 +29,9 @@
     Session& operator=(const Session&) = delete;
 
     void run();
+    bool isWaitingFor(std::string_view runner) const { return m_attempt && m_attempt->runner == runner; }
+    /// @brief The runner of the present attempt cannot be reached any more.
+    void onRunnerDead();
 
 private:
     /// One request at one runner.
@@ -40,6 +43,8 @@
         bool hasHead = false;
         /// The response is a sound stream whose events are relayed.
         bool isStreaming = false;
+        /// Its silence was held against the runner.
+        bool isBlamed = false;
         std::string body;
         upstream::EventStream events;
         TimePoint sentAt {};
@@ -61,6 +66,7 @@
     void armTimer();
     void onTimer();
     bool isDueElsewhere(TimePoint now) const;
+    void blame(TimePoint now);
     std::optional<TimePoint> patienceEnd() const;
     void onCallerGone();
     void answerNotRun(std::string_view detail);
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -93,6 +93,22 @@
     return std::max(known, stated + since);
 }
 
+void Registry::dispatched(Runner& runner, TimePoint now)
+{
+    if (runner.ownLoad++ == 0)
+        runner.heardAt = now;
+}
+
+std::vector<Runner*> Registry::silentRunners(TimePoint now) const
+{
+    std::vector<Runner*> result;
+    for (const auto& [id, runner] : m_runners) {
+        if (runner->ownLoad > 0 && !runner->isProbed && now - runner->heardAt > m_options.silence)
+            result.push_back(runner.get());
+    }
+    return result;
+}
+
 bool Registry::finished(Runner& runner, Observation observation, TimePoint now)
 {
     runner.ownLoad -= runner.ownLoad > 0 ? 1 : 0;
@@ -124,14 +140,16 @@
             runner.nextSuspension = m_options.firstSuspension;
         return false;
     case Observation::Failed:
+    case Observation::Silent:
+        // Under overload every runner is slow; only one that fails more than the others is avoided.
         count(runner, true, now);
-        runner.consecutiveLosses = 0;
+        if (observation == Observation::Failed)
+            runner.consecutiveLosses = 0;
         if (runner.samples() < m_options.samplesForRate
             || runner.failureRate() < meanFailureRate(runner) + m_options.excessFailureRate)
             return false;
         return suspend(runner, m_options.failureSuspension, now);
     case Observation::ConnectionLost:
-    case Observation::Silent:
         count(runner, true, now);
         if (++runner.consecutiveLosses < m_options.lossesToSuspend && !runner.isOnTrial)
             return false;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -25,6 +25,9 @@
     /// Requests before a failure rate means anything.
     double samplesForRate = 10.0;
     Duration failureSuspension = std::chrono::seconds(3);
+    /// Silence of a runner with requests after which it is probed; a step of its engine takes some milliseconds, a long
+    /// prompt some hundred.
+    Duration silence = std::chrono::milliseconds(400);
     /// A runner that served this lately is not avoided on the word of others.
     Duration ownWord = std::chrono::milliseconds(300);
     /// Largest share of a service's runners that may be suspended.
@@ -60,7 +63,10 @@
     /// @brief Requests under way at a runner: what daemons know of each other, or its own word where that is more.
     double load(const Runner& runner, TimePoint now) const;
 
-    void dispatched(Runner& runner) { ++runner.ownLoad; }
+    void dispatched(Runner& runner, TimePoint now);
+    void heard(Runner& runner, TimePoint now) { runner.heardAt = now; }
+    /// @brief Runners that have requests of this daemon and were silent for too long, and are not being probed.
+    std::vector<Runner*> silentRunners(TimePoint now) const;
     /// @brief An attempt at a runner ended.
     /// @return whether the runner was suspended by that
     bool finished(Runner& runner, Observation observation, TimePoint now);
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -77,6 +77,10 @@
     Duration nextSuspension {};
     /// After a suspension one request at a time shows whether it serves again.
     bool isOnTrial = false;
+    /// Last time at which a byte came from it, or it was given a request while it had none.
+    TimePoint heardAt {};
+    /// A probe finds out whether it is reachable.
+    bool isProbed = false;
     TimePoint seenSince {};
 
     std::uint32_t knownLoad() const { return ownLoad + peerLoad; }
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -49,7 +49,7 @@
 /// @brief Durations of the pool.
 struct ConnectionPoolOptions {
     /// Time in which a connection must be established; a runner in the same region accepts within milliseconds.
-    Duration connectTimeout = std::chrono::milliseconds(600);
+    Duration connectTimeout = std::chrono::milliseconds(400);
     /// Time after which unacknowledged bytes end a connection.
     Duration unacknowledgedTimeout = std::chrono::milliseconds(1500);
     /// Idle time of a connection whose peer names no time of its own.
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -272,6 +272,24 @@
     CHECK(fixture.arrivals() == 1);
 }
 
+TEST_CASE("a stream does not wait for a runner that cannot be reached any more")
+{
+    Fixture fixture;
+    fixture.call("POST", "/stream/1");
+    auto& dead = fixture.arrived(1);
+    dead.send(streamHead("s-1") + chunk(event(1)));
+    fixture.awaitAnswer("e1\n\n");
+    const bool isFirst = !fixture.first.peers.empty();
+    // Its connection stays open and silent while nobody listens.
+    (isFirst ? fixture.first : fixture.second).stop();
+    fixture.router.checkSilence(daemon::currentTime() + std::chrono::seconds(1));
+    auto& next = fixture.arrived(2);
+    CHECK(next.has("Last-Event-Id: 1\r\n"));
+    next.send(streamHead("s-2") + chunk(event(2)) + "0\r\n\r\n");
+    fixture.awaitAnswer("0\r\n\r\n");
+    CHECK(fixture.caller->has("data: e2"));
+}
+
 TEST_CASE("when a caller leaves, its runner is told by a closed connection and nothing more is sent")
 {
     Fixture fixture;
--- a/tests/runners/PlacementTest.cpp
+++ b/tests/runners/PlacementTest.cpp
@@ -75,7 +75,7 @@
     std::map<std::string, int> counts;
     for (int i = 0; i < 180; ++i) {
         const auto placement = fleet.place(42);
-        fleet.registry.dispatched(*placement.runner);
+        fleet.registry.dispatched(*placement.runner, start);
         ++counts[placement.runner->entry.id];
         CHECK(placement.home != nullptr);
     }
@@ -111,7 +111,7 @@
     Fleet fleet(18);
     CHECK(fleet.place(5).source == nullptr);
     for (int i = 0; i < 3; ++i)
-        fleet.registry.dispatched(*fleet.place(5).home);
+        fleet.registry.dispatched(*fleet.place(5).home, start);
     const auto spilled = fleet.place(5);
     CHECK(spilled.reason == PlacementReason::Spilled);
     CHECK(spilled.source == spilled.home);
@@ -156,8 +156,8 @@
 {
     Fleet fleet(4);
     CHECK(fleet.place(0).runner->entry.dataCentre == "a");
-    fleet.registry.dispatched(*fleet.registry.find("r-0"));
-    fleet.registry.dispatched(*fleet.registry.find("r-2"));
+    fleet.registry.dispatched(*fleet.registry.find("r-0"), start);
+    fleet.registry.dispatched(*fleet.registry.find("r-2"), start);
     CHECK(fleet.place(0).runner->entry.dataCentre == "b");
 }
 
@@ -177,7 +177,7 @@
                 fleet.registry.setPeerWord(
                     *fleet.registry.find(id), { count - fleet.registry.find(id)->ownLoad, 0.0, 0.0, 0 });
             auto* runner = runners::place(fleet.registry, request, {}, start).runner;
-            fleet.registry.dispatched(*runner);
+            fleet.registry.dispatched(*runner, start);
             ++counts[runner->entry.id];
         }
     }
--- a/tests/runners/RegistryTest.cpp
+++ b/tests/runners/RegistryTest.cpp
@@ -29,7 +29,7 @@
     bool isUsable(std::string_view id, TimePoint now) { return registry.isUsable(runner(id), now); }
     void end(std::string_view id, Observation observation, TimePoint now = start)
     {
-        registry.dispatched(runner(id));
+        registry.dispatched(runner(id), now);
         registry.finished(runner(id), observation, now);
     }
 };
@@ -39,7 +39,7 @@
 TEST_CASE("a runner that starts again under its id is another runner")
 {
     Fixture fixture;
-    fixture.registry.dispatched(fixture.runner("r-1"));
+    fixture.registry.dispatched(fixture.runner("r-1"), start);
     const auto before = fixture.runner("r-1").identity;
     fixture.apply({ entry("r-1", 2), entry("r-2"), entry("r-3"), entry("r-4") });
     CHECK(fixture.removed == std::vector<std::string> { "r-1" });
@@ -50,7 +50,7 @@
 TEST_CASE("a leaving runner gets nothing new and keeps what it has")
 {
     Fixture fixture;
-    fixture.registry.dispatched(fixture.runner("r-1"));
+    fixture.registry.dispatched(fixture.runner("r-1"), start);
     auto leaving = entry("r-1");
     leaving.isLeaving = true;
     fixture.apply({ leaving, entry("r-2"), entry("r-3"), entry("r-4") });
@@ -78,12 +78,12 @@
     CHECK_FALSE(fixture.isUsable("r-1", start + milliseconds(499)));
     const auto back = start + milliseconds(500);
     CHECK(fixture.isUsable("r-1", back));
-    fixture.registry.dispatched(fixture.runner("r-1"));
+    fixture.registry.dispatched(fixture.runner("r-1"), back);
     CHECK_FALSE(fixture.isUsable("r-1", back));
     SUBCASE("success ends the trial")
     {
         fixture.registry.finished(fixture.runner("r-1"), Observation::Served, back);
-        fixture.registry.dispatched(fixture.runner("r-1"));
+        fixture.registry.dispatched(fixture.runner("r-1"), start);
         CHECK(fixture.isUsable("r-1", back));
     }
     SUBCASE("failure suspends it for longer")
@@ -144,11 +144,45 @@
     Fixture fixture;
     auto& runner = fixture.runner("r-1");
     fixture.registry.setPeerWord(runner, { 3, 0.0, 0.0, 0 });
-    fixture.registry.dispatched(runner);
+    fixture.registry.dispatched(runner, start);
     CHECK(fixture.registry.load(runner, start) == 4.0);
     fixture.registry.report(runner, { 8, 2, 8 }, start);
     CHECK(fixture.registry.load(runner, start) == 10.0);
-    fixture.registry.dispatched(runner);
+    fixture.registry.dispatched(runner, start);
     CHECK(fixture.registry.load(runner, start) == 11.0);
     CHECK(fixture.registry.load(runner, start + std::chrono::seconds(2)) == 5.0);
 }
+
+TEST_CASE("a runner with requests that says nothing is to be probed once, one without requests is not")
+{
+    // As in an incident of the drum works: runners went dark, and their requests waited until callers left.
+    Fixture fixture;
+    fixture.registry.dispatched(fixture.runner("r-1"), start);
+    CHECK(fixture.registry.silentRunners(start + milliseconds(400)).empty());
+    const auto silent = fixture.registry.silentRunners(start + milliseconds(401));
+    REQUIRE(silent.size() == 1);
+    CHECK(silent[0]->entry.id == "r-1");
+    silent[0]->isProbed = true;
+    CHECK(fixture.registry.silentRunners(start + milliseconds(500)).empty());
+    silent[0]->isProbed = false;
+    fixture.registry.heard(*silent[0], start + milliseconds(500));
+    CHECK(fixture.registry.silentRunners(start + milliseconds(900)).empty());
+}
+
+TEST_CASE("silence counts against a runner that is silent more often than the others, not under overload")
+{
+    Fixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        for (const char* id : { "r-1", "r-2", "r-3", "r-4" })
+            fixture.end(id, Observation::Silent);
+    }
+    for (const char* id : { "r-1", "r-2", "r-3", "r-4" })
+        CHECK(fixture.isUsable(id, start));
+    Fixture other;
+    for (int i = 0; i < 20; ++i) {
+        other.end("r-1", i % 2 == 0 ? Observation::Silent : Observation::Served);
+        for (const char* id : { "r-2", "r-3", "r-4" })
+            other.end(id, Observation::Served);
+    }
+    CHECK_FALSE(other.isUsable("r-1", start));
+}
