--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -50,6 +50,9 @@
 ExitCode diff(const std::string& before, const std::string& after, const Output& output);
 /// @brief Shows how a request would be routed by an idle fleet.
 ExitCode explain(const ExplainOptions& options, const Output& output);
+/// @brief Shows the lines of one request out of the logs of several hosts, in order of time.
+/// @param files logs; standard input if there are none
+ExitCode trace(const std::string& request, const std::vector<std::string>& files, const Output& output);
 /// @brief Shows a daemon's view.
 ExitCode status(const std::string& adminUrl, const Output& output);
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -15,6 +15,7 @@
                "  eelgrassctl check examples/drum-works/services\n"
                "  eelgrassctl collect examples/drum-works/services --previous published --out next\n"
                "  eelgrassctl diff published next\n"
+               "  eelgrassctl trace 9f66058722642d58 entry-*.log\n"
                "  eelgrassctl status --admin http://127.0.0.1:9000\n"
                "Exit codes: 0 success, 1 a negative answer, 2 wrong usage, 3 failure.");
     bool isJson = false;
@@ -26,6 +27,8 @@
     std::string before;
     std::string after;
     std::string adminUrl;
+    std::string requestId;
+    std::vector<std::string> logs;
     auto addCommand
         = [&](const std::string& name, const std::string& help, std::function<ExitCode(const Output&)> run) {
               auto* command = app.add_subcommand(name, help);
@@ -62,6 +65,12 @@
     explainCommand->add_option("--body", explainOptions.body, "File with the request body");
     explainCommand->add_option("--chat", explainOptions.chat, "Name of the chat");
 
+    auto* traceCommand
+        = addCommand("trace", "Show the lines of one request out of several logs; exit 1 if there is none",
+            [&](const Output& output) { return trace(requestId, logs, output); });
+    traceCommand->add_option("ID", requestId, "Id of the request")->required();
+    traceCommand->add_option("FILE", logs, "Logs of the hosts; standard input if none is given");
+
     auto* statusCommand = addCommand("status", "Show a daemon's view; exit 1 if it is not ready",
         [&](const Output& output) { return status(adminUrl, output); });
     statusCommand->add_option("--admin", adminUrl, "Base URL of the daemon's admin address")
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -65,8 +65,8 @@
     if (!settings.metrics)
         return nullptr;
     return std::make_unique<gateway::AdminServer>(m_context, settings.metrics->ip, settings.metrics->port,
-        gateway::AdminServer::Sources { [this] { return isReady(); }, [this] { return m_metrics.serialize(); },
-            [this] { return statusJson(); } });
+        gateway::AdminServer::Sources {
+            [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } });
 }
 
 void ControlLoop::run()
--- a/standins/StandIns.h
+++ b/standins/StandIns.h
@@ -41,6 +41,25 @@
     std::string hostList;
 };
 
+/// @brief The store of the users' platform, written by tests.
+struct StoreOptions {
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/// @brief A runner of the users' platform that counts its runs by request id.
+struct PlatformRunnerOptions {
+    std::string ip;
+    std::uint16_t port = 0;
+    std::string name;
+    /// Time of a run, or between two events of a stream.
+    double runSeconds = 0.01;
+    /// Events of a stream.
+    int events = 40;
+};
+
+void runStore(asio::io_context& context, const StoreOptions& options);
+void runPlatformRunner(asio::io_context& context, const PlatformRunnerOptions& options);
 void runModelEngine(asio::io_context& context, const ModelEngineOptions& options);
 void runApplicationRunner(asio::io_context& context, const ApplicationRunnerOptions& options);
 void runPlatform(asio::io_context& context, const PlatformOptions& options);
--- /dev/null
+++ b/standins/Store.cpp
@@ -0,0 +1,141 @@
+#include "StandIns.h"
+
+#include "gateway/HttpServer.h"
+#include <charconv>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace eelgrassford::standins {
+
+namespace {
+
+    using gateway::HttpRequest;
+    using gateway::Responder;
+    using Json = nlohmann::json;
+
+    constexpr auto pollInterval = std::chrono::milliseconds(10);
+
+    std::string encodeBase64(const std::string& bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const auto size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(size));
+        return text;
+    }
+
+    std::uint64_t numberOf(const HttpRequest& request, std::string_view name)
+    {
+        const auto text = queryParameter(request.query(), name);
+        std::uint64_t number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
+    }
+
+    /// Keys with revisions, read and watched as on the users' platform; tests write by PUT and DELETE /item/KEY.
+    class Store : public std::enable_shared_from_this<Store> {
+    public:
+        explicit Store(asio::io_context& context)
+            : m_context(context)
+        {
+        }
+
+        void handle(const HttpRequest& request, const std::shared_ptr<Responder>& responder)
+        {
+            const std::string path(request.path());
+            constexpr std::string_view itemPath = "/item/";
+            if (path.starts_with(itemPath)) {
+                write(path.substr(itemPath.size()), request);
+                responder->respond({ 200, {}, std::to_string(m_revision) + "\n" });
+            } else if (path == "/fault") {
+                m_fault = queryParameter(request.query(), "name");
+                responder->respond({ 200, {}, "fault " + m_fault + "\n" });
+            } else if (path == "/calls") {
+                responder->respond({ 200, {}, std::to_string(m_calls) + "\n" });
+            } else {
+                serve(path, request, responder);
+            }
+        }
+
+    private:
+        struct Entry {
+            std::string value;
+            std::uint64_t revision = 0;
+            bool isRemoved = false;
+        };
+
+        void write(const std::string& key, const HttpRequest& request)
+        {
+            m_entries[key] = { request.body, ++m_revision, request.method == "DELETE" };
+        }
+
+        void serve(const std::string& path, const HttpRequest& request, const std::shared_ptr<Responder>& responder)
+        {
+            ++m_calls;
+            if (m_fault == "down")
+                responder->abort();
+            else if (m_fault == "busy")
+                responder->respond({ 503, {}, "" });
+            else if (path == "/kv-range")
+                responder->respond({ 200, {}, list().dump() });
+            else if (path == "/kv-watch")
+                watch(numberOf(request, "after"),
+                    std::chrono::steady_clock::now() + std::chrono::milliseconds(numberOf(request, "waitMs")),
+                    responder);
+            else
+                responder->respond({ 404, {}, "" });
+        }
+
+        Json list() const
+        {
+            auto items = Json::array();
+            for (const auto& [key, entry] : m_entries) {
+                if (!entry.isRemoved)
+                    items.push_back(
+                        { { "key", key }, { "value", encodeBase64(entry.value) }, { "revision", entry.revision } });
+            }
+            return { { "items", items }, { "hasMore", false }, { "storeRevision", m_revision } };
+        }
+
+        void watch(std::uint64_t after, std::chrono::steady_clock::time_point until,
+            const std::shared_ptr<Responder>& responder)
+        {
+            auto events = Json::array();
+            for (const auto& [key, entry] : m_entries) {
+                if (entry.revision <= after)
+                    continue;
+                if (entry.isRemoved)
+                    events.push_back({ { "key", key }, { "revision", entry.revision }, { "tombstone", true } });
+                else
+                    events.push_back(
+                        { { "key", key }, { "value", encodeBase64(entry.value) }, { "revision", entry.revision } });
+            }
+            if (!events.empty() || std::chrono::steady_clock::now() >= until) {
+                responder->respond({ 200, {}, Json { { "events", events }, { "storeRevision", m_revision } }.dump() });
+                return;
+            }
+            auto timer = std::make_shared<asio::steady_timer>(m_context, pollInterval);
+            timer->async_wait([self = shared_from_this(), timer, after, until, responder](
+                                  const asio::error_code&) { self->watch(after, until, responder); });
+        }
+
+        asio::io_context& m_context;
+        std::map<std::string, Entry> m_entries;
+        std::uint64_t m_revision = 1;
+        std::uint64_t m_calls = 0;
+        std::string m_fault;
+    };
+
+}
+
+void runStore(asio::io_context& context, const StoreOptions& options)
+{
+    const auto store = std::make_shared<Store>(context);
+    serve(context, options.ip, options.port,
+        [store](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
+            store->handle(request, responder);
+        });
+}
+
+}
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -25,6 +25,8 @@
     ModelEngineOptions engine;
     ApplicationRunnerOptions application;
     PlatformOptions platform;
+    StoreOptions store;
+    PlatformRunnerOptions runner;
 
     auto* engineCommand = app.add_subcommand("engine", "A model engine");
     engineCommand->add_option("--listen", listen, "IP:PORT")->required();
@@ -49,6 +51,16 @@
     platformCommand->add_option("--bundle", platform.bundle, "Directory of the published bundle")->required();
     platformCommand->add_option("--host-list", platform.hostList, "File with the host list")->required();
 
+    auto* storeCommand = app.add_subcommand("store", "The store of the users' platform");
+    storeCommand->add_option("--listen", listen, "IP:PORT")->required();
+
+    auto* runnerCommand = app.add_subcommand("runner", "A runner of the users' platform that counts its runs");
+    runnerCommand->add_option("--listen", listen, "IP:PORT")->required();
+    runnerCommand->add_option("--name", runner.name, "Name")->required();
+    runnerCommand->add_option("--run-seconds", runner.runSeconds, "Time of a run or between events")
+        ->capture_default_str();
+    runnerCommand->add_option("--events", runner.events, "Events of a stream")->capture_default_str();
+
     CLI11_PARSE(app, argumentCount, arguments);
     try {
         asio::io_context context;
@@ -58,6 +70,12 @@
         } else if (applicationCommand->parsed()) {
             readAddress(listen, application.ip, application.port);
             runApplicationRunner(context, application);
+        } else if (storeCommand->parsed()) {
+            readAddress(listen, store.ip, store.port);
+            runStore(context, store);
+        } else if (runnerCommand->parsed()) {
+            readAddress(listen, runner.ip, runner.port);
+            runPlatformRunner(context, runner);
         } else {
             readAddress(listen, platform.ip, platform.port);
             runPlatform(context, platform);
--- /dev/null
+++ b/tests/e2e/relay.test.sh
@@ -0,0 +1,201 @@
+#!/usr/bin/env bash
+# The relay between callers and runners, as separate processes on loopback. Usage: relay.test.sh DIRECTORY_OF_PROGRAMS
+# Waits poll for a state; no check depends on how fast something happens.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+bin=$1 base=${2:-46} work=$(mktemp -d)
+declare -A pids=()
+trap 'kill -9 "${pids[@]}" 2> /dev/null; rm -rf "$work"' EXIT
+passed=0 failed=0
+store="http://127.$base.0.1:9000"
+
+check() { # DESCRIPTION COMMAND...
+    local what=$1
+    shift
+    if "$@" > /dev/null 2>&1; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+        echo "FAILED: $what"
+    fi
+}
+equal() { [ "$1" = "$2" ] || { echo "expected '$2', got '$1'"; return 1; }; }
+wait_until() { # DESCRIPTION COMMAND...
+    local what=$1
+    shift
+    for _ in $(seq 600); do
+        "$@" > /dev/null 2>&1 && return 0
+        sleep 0.05
+    done
+    echo "never: $what"
+    failed=$((failed + 1))
+    return 1
+}
+
+start() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" > "$work/$name.log" 2>&1 &
+    pids[$name]=$!
+}
+settings() { # NUMBER: the file that the platform renders on its hosts
+    cat > "$work/daemon-$1.toml" << END
+host = "entry-$1"
+data_centre = "south-$1"
+region = "south"
+ip = "127.$base.1.$1"
+[listen]
+callers = "127.$base.1.$1:8000"
+admin = "127.$base.1.$1:8001"
+readiness_path = "/ready"
+[store]
+address = "127.$base.0.1:9000"
+[fleet]
+port = 7340
+seeds = ["127.$base.1.9:1", "127.$base.1.1:1"]
+[stop]
+grace_seconds = 6
+[retries]
+ratio = 0.2
+allowance = 54
+END
+}
+start_daemon() { start "daemon-$1" "$bin/eelgrassfordd" relay --settings "$work/daemon-$1.toml"; }
+start_runner() { # NUMBER ARGUMENT...
+    local number=$1
+    shift
+    start "runner-$number" "$bin/eelgrassford-standins" runner --listen "127.$base.2.$number:8000" --name "runner-$number" "$@"
+}
+list_runner() { # NUMBER STATE [BORN]
+    curl -sf -X PUT "$store/item/servers/runner-$1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.$1:8000\",\"zone\":\"south-$1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":${3:-1}}"
+}
+publish() { # VERSION KEY [PREFIX]
+    curl -sf -X PUT "$store/item/op/config" -d "{\"version\":$1,\"routes\":[
+        {\"name\":\"book\",\"host\":\"a.example\",\"pathPrefix\":\"/book/\",\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":1},
+        {\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"${3:-/look/}\",\"kind\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2},
+        {\"name\":\"stream\",\"host\":\"a.example\",\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2,\"streamResume\":true}],
+        \"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":100}],
+        \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},
+        \"tenants\":[{\"name\":\"yard\",\"apiKeys\":[\"$2\"]}]}"
+}
+ask() { # DAEMON PATH ID [CURL ARGUMENT...]: prints the status, keeps the body
+    local daemon=$1 path=$2 id=$3
+    shift 3
+    curl -sN -m 20 -o "$work/body" -D "$work/headers" -w '%{http_code}' "http://127.$base.1.$daemon:8000$path" -H 'Host: a.example' -H "X-Attempt-Id: $id" -H 'X-Deadline-Ms: 5000' -H "X-Key: ${key:-key-1}" "$@"
+}
+runs() { # ID: over all runners
+    for number in 1 2 3; do curl -sf "http://127.$base.2.$number:8000/runs"; done | jq -s --arg id "$1" 'map(.[$id] // 0) | add'
+}
+fault() { curl -sf "http://127.$base.2.$1:8000/fault?name=$2"; }
+is_ready() { curl -sf "http://127.$base.1.$1:8001/ready"; }
+status_field() { curl -sf "http://127.$base.1.$1:8001/admin/status" | jq -r "$2"; }
+field_is() { [ "$(status_field "$1" "$2")" = "$3" ]; }
+answers() { [ "$(ask "$@")" = 200 ]; }
+refuses() { [ "$(ask "$1" "$2" "$3")" = "$4" ]; }
+has_ended() { ! kill -0 "${pids[$1]}" 2> /dev/null; }
+
+start store "$bin/eelgrassford-standins" store --listen "127.$base.0.1:9000"
+for number in 1 2 3; do
+    start_runner "$number"
+    settings "$number"
+done
+wait_until "the store serves" curl -sf "$store/calls"
+for number in 1 2 3; do start_daemon "$number"; done
+
+echo "== nothing is served, and none denied, before a configuration is known"
+wait_until "a refusal as not run" refuses 1 /look/1 early 503
+check "not ready" eval '! is_ready 1'
+publish 1 key-1 > /dev/null
+for number in 1 2 3; do list_runner "$number" ready > /dev/null; done
+for number in 1 2 3; do wait_until "daemon $number is ready" is_ready "$number"; done
+
+echo "== requests are relayed exactly"
+check "a booking is answered" equal "$(ask 1 '/book/7?a=b' id-1 -d 'drums=3')" 200
+check "with its target and body" equal "$(cat "$work/body")" '/book/7?a=b drums=3'
+check "under the runner's digest" grep -qi '^X-Response-Signature: digest-of-id-1' "$work/headers"
+check "it ran once" equal "$(runs id-1)" 1
+check "an unknown route" equal "$(ask 2 /nowhere/ id-2)" 404
+check "an unknown credential" equal "$(key=wrong ask 2 /look/1 id-3)" 401
+check "a body over the limit" equal "$(ask 2 /book/1 id-4 -d "$(head -c 70000 /dev/zero | tr '\0' x)")" 413
+check "nothing of these ran" equal "$(runs id-2) $(runs id-3) $(runs id-4)" "0 0 0"
+
+echo "== streams are relayed, and go on at another runner"
+check "a whole stream" equal "$(ask 3 /stream/1 s-1 -d x)" 200
+check "with all events" equal "$(grep -c '^data: e' "$work/body")" 40
+for number in 1 2 3; do fault "$number" cut > /dev/null; done
+(sleep 0.1; for number in 1 2 3; do fault "$number" none > /dev/null; done) &
+ask 3 /stream/1 s-2 -d x > /dev/null
+check "no event twice or missing up to the last" equal "$(sed -n 's/^data: e//p' "$work/body" | awk '$1!=NR' | wc -l)" 0
+
+echo "== a booking whose runner breaks off runs once"
+for number in 1 2 3; do fault "$number" cut > /dev/null; done
+check "its outcome is unknown" equal "$(ask 1 /book/1 id-5 -d x)" 502
+check "it ran once" equal "$(runs id-5)" 1
+for number in 1 2 3; do fault "$number" full > /dev/null; done
+check "a full service is a refusal" equal "$(ask 1 /book/1 id-6 -d x)" 503
+check "that says when to come back" grep -qi '^Retry-After' "$work/headers"
+check "nothing ran" equal "$(runs id-6)" 0
+for number in 1 2 3; do fault "$number" none > /dev/null; done
+
+echo "== configuration comes into force everywhere and only grows"
+publish 5 key-2 /search/ > /dev/null
+for number in 1 2 3; do wait_until "daemon $number adopts" field_is "$number" .configuration_revision 5; done
+publish 4 key-1 > /dev/null
+check "a new route" eval 'key=key-2 answers 2 /search/1 id-7'
+check "the old route is gone" equal "$(key=key-2 ask 2 /look/1 id-8)" 404
+check "the old credential is gone" equal "$(ask 3 /book/1 id-9 -d x)" 401
+for number in 1 2 3; do check "daemon $number keeps revision 5" field_is "$number" .configuration_revision 5; done
+publish 6 key-1 > /dev/null
+for number in 1 2 3; do wait_until "daemon $number adopts" field_is "$number" .configuration_revision 6; done
+
+echo "== a leaving runner gets nothing new"
+list_runner 1 draining > /dev/null
+leaves() { for id in l-1 l-2 l-3 l-4 l-5 l-6; do ask 2 /look/1 "$1-$id" > /dev/null; done; ! curl -sf "http://127.$base.2.1:8000/runs" | grep -q "\"$1-"; }
+round=0
+gets_nothing() { round=$((round + 1)); leaves "r$round"; }
+wait_until "no request of a round reaches it" gets_nothing
+check "nor one of the next rounds" eval 'gets_nothing && gets_nothing'
+
+echo "== the store is down: what is known is served, credentials only as long as they are surely valid"
+curl -sf "$store/fault?name=down" > /dev/null
+check "served at once" answers 1 /look/1 d-1
+wait_until "then refused as not run" refuses 1 /look/1 d-2 503
+curl -sf "$store/fault?name=none" > /dev/null
+wait_until "served again" answers 1 /look/1 d-3
+
+echo "== a stop cuts no request"
+ask 3 /stream/1 stop-1 -d x > "$work/status" &
+asking=$!
+wait_until "the stream runs" eval '[ "$(runs stop-1)" = 1 ]'
+kill -TERM "${pids[daemon-3]}"
+wait_until "unready" eval '! is_ready 3'
+wait "$asking"
+check "the stream is whole" equal "$(grep -c '^data: e' "$work/body")" 40
+check "an answer asks to close" eval 'answers 3 /look/1 stop-2 && grep -qi "^Connection: close" "$work/headers"'
+wait_until "it ends" has_ended daemon-3
+check "in good order" grep -q -E 'event=stop$' "$work/daemon-3.log"
+
+echo "== a killed daemon comes back, a suspended one does no harm"
+kill -9 "${pids[daemon-2]}"
+start_daemon 2
+wait_until "ready again" is_ready 2
+check "it serves" answers 2 /look/1 k-1
+kill -STOP "${pids[daemon-1]}"
+check "others serve" answers 2 /look/1 k-2
+kill -CONT "${pids[daemon-1]}"
+wait_until "it serves again" answers 1 /look/1 k-3
+
+echo "== one request is found in the logs of all hosts"
+check "its way in order of time" eval '"$bin/eelgrassctl" trace id-5 "$work"/daemon-*.log | tr "\n" " " | grep -q "event=attempt-failed.*event=request .*outcome=unknown"'
+check "an unknown id is a negative answer" eval '"$bin/eelgrassctl" trace nothing "$work"/daemon-*.log; [ $? = 1 ]'
+
+echo "== settings are read again"
+sed -i 's/grace_seconds = 6/grace_seconds = 7/' "$work/daemon-1.toml"
+kill -HUP "${pids[daemon-1]}"
+wait_until "the reload is logged" grep -q 'event=reload trigger=signal' "$work/daemon-1.log"
+echo 'host =' > "$work/daemon-1.toml"
+wait_until "wrong settings are refused" grep -q 'event=reload-failed' "$work/daemon-1.log"
+check "and it serves on" answers 1 /look/1 h-1
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
