Keep thin links for callers: compress changes, bound what is served, do not take an own stall for dead runners

Its streams stood still for over 0.7 s, and unacknowledged bytes (1.5 s) or a failed probe (0.4 s) then ended sound streams.

Deltas are compressed; an eighth of the link serves them, and daemons that have them serve others. A silent runner is probed only if others were heard, and counts as dead if it refuses, or is silent while others are heard.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -14,7 +14,10 @@
     constexpr std::string_view changesTarget = "/mirror?since=";
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
     /// Time behind the others after which a daemon asks the store itself.
-    constexpr Duration longestBehind = std::chrono::milliseconds(600);
+    constexpr Duration longestBehind = std::chrono::milliseconds(1000);
+    /// Part of the link that serves changes to other daemons.
+    constexpr double servedShare = 0.125;
+    constexpr double bytesPerMegabit = 125000.0;
 
     /// IP addresses of the seeds; their ports belong to another interface.
     std::vector<std::string> seedIps(const RelaySettings& settings)
@@ -53,6 +56,7 @@
           [this](const gateway::HttpRequest& request, const std::shared_ptr<gateway::Responder>& responder) {
               responder->respond(serve(request));
           })
+    , m_served(settings.linkMegabits * bytesPerMegabit * servedShare, currentTime())
 {
     addSeeds(settings, currentTime());
 }
@@ -173,10 +177,12 @@
         + std::to_string(m_mirror.isComplete() ? m_mirror.completeRevision() : 0);
     call.timeout = fetchTimeout;
     call.connectTimeout = fetchTimeout;
-    m_client.fetch(call, [this, ip](const upstream::CallResult& result, std::uint16_t, const std::string& body) {
+    m_client.fetch(call, [this, ip](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
+        constexpr std::uint16_t statusOk = 200;
         m_isFetching = false;
-        if (result.end != upstream::CallEnd::Complete) {
-            telemetry::logWarning("changes-not-fetched", { { "peer", ip }, { "detail", result.detail } });
+        if (result.end != upstream::CallEnd::Complete || status != statusOk) {
+            telemetry::logInfo("changes-not-fetched",
+                { { "peer", ip }, { "status", static_cast<int>(status) }, { "detail", result.detail } });
             return;
         }
         const auto delta = store::decodeDelta(body);
@@ -185,12 +191,15 @@
             return;
         }
         m_behindSince.reset();
-        if (m_mirror.merge(*delta, currentTime()))
-            m_events.mirrorChanged();
+        if (!m_mirror.merge(*delta, currentTime()))
+            return;
+        // Others that are behind may fetch from here as well.
+        m_members.hurry(currentTime());
+        m_events.mirrorChanged();
     });
 }
 
-gateway::HttpResponse FleetLink::serve(const gateway::HttpRequest& request) const
+gateway::HttpResponse FleetLink::serve(const gateway::HttpRequest& request)
 {
     const std::string_view target = request.target;
     if (!target.starts_with(changesTarget))
@@ -200,8 +209,12 @@
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), since);
     if (parsed.ec != std::errc {} || !m_mirror.isComplete())
         return { 503, {}, "" };
-    return { 200, { { "Content-Type", "application/cbor" } },
-        store::encode(m_mirror.changesSince(since, currentTime())) };
+    const auto now = currentTime();
+    auto delta = store::encode(m_mirror.changesSince(since, now));
+    // The asker comes again, to this daemon or to another one that has the changes by then.
+    if (!m_served.tryTake(delta.size(), now))
+        return { 503, {}, "" };
+    return { 200, { { "Content-Type", "application/cbor" } }, std::move(delta) };
 }
 
 void FleetLink::tell(TimePoint now, bool isLeaving)
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -2,6 +2,7 @@
 
 #include "edge/FleetSocket.h"
 #include "edge/RelaySettings.h"
+#include "fleet/ByteBudget.h"
 #include "fleet/Members.h"
 #include "fleet/Readership.h"
 #include "gateway/HttpServer.h"
@@ -48,7 +49,7 @@
     void noteMembers(TimePoint now);
     void noteBehind(const std::string& ip, std::uint64_t changeRevision, TimePoint now);
     void fetch(const std::string& ip);
-    gateway::HttpResponse serve(const gateway::HttpRequest& request) const;
+    gateway::HttpResponse serve(const gateway::HttpRequest& request);
 
     RelaySettings m_settings;
     std::uint64_t m_incarnation;
@@ -59,6 +60,7 @@
     fleet::Readership m_readership;
     FleetSocket m_socket;
     gateway::HttpServer m_server;
+    fleet::ByteBudget m_served;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_fetches = 0;
     std::vector<fleet::RunnerState> m_states;
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -118,6 +118,7 @@
         settings.metrics = reader.address("listen.metrics");
     settings.store = reader.address("store.address");
     settings.fleetPort = static_cast<std::uint16_t>(reader.number("fleet.port", 0, 0, 65535));
+    settings.linkMegabits = reader.number("fleet.link_megabits", settings.linkMegabits, 0.1, 1e6);
     settings.seeds = reader.texts("fleet.seeds");
     settings.grace = fromSeconds(reader.number("stop.grace_seconds", toSeconds(settings.grace), 0.5, mostSeconds));
     settings.revocation = milliseconds(reader.number(
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -24,6 +24,8 @@
     Address store;
     /// UDP port on which daemons tell each other their load, the same on every host.
     std::uint16_t fleetPort = 0;
+    /// Bandwidth of this host's link in megabits a second.
+    double linkMegabits = 1000.0;
     /// Hosts to ask for the other hosts; may be stale.
     std::vector<std::string> seeds;
     /// Time between the signal to stop and the end of the process at the latest.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -143,7 +143,7 @@
         m_server.sweep(now);
         m_router.sweep(now);
     }
-    m_router.checkSilence(now);
+    m_router.checkSilence();
     if (now >= m_nextMetricsAt) {
         m_nextMetricsAt = now + metricsInterval;
         m_router.updateMetrics(now);
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -129,9 +129,9 @@
     const auto* runner = m_registry.find(id);
     if (!runner)
         return;
-    poolOf(*runner).probe([this, id, request](bool isReachable) {
+    poolOf(*runner).probe([this, id, request, begunAt = m_clock()](ProbeResult result) {
         auto* suspect = m_registry.find(id);
-        if (isReachable || !suspect)
+        if (!suspect || !provesDeath(result, begunAt))
             return;
         const auto time = m_clock();
         m_registry.observe(*suspect, runners::Observation::CannotConnect, time);
@@ -245,29 +245,36 @@
         pool->sweep(now);
 }
 
-void Router::checkSilence(TimePoint now)
+void Router::checkSilence()
 {
-    for (auto* silent : m_registry.silentRunners(now)) {
+    for (auto* silent : m_registry.silentRunners()) {
         silent->isProbed = true;
-        const auto silence = now - silent->heardAt;
-        poolOf(*silent).probe([this, id = silent->entry.id, silence](bool isReachable) {
+        const auto begunAt = m_clock();
+        const auto silence = begunAt - silent->heardAt;
+        poolOf(*silent).probe([this, id = silent->entry.id, begunAt, silence](ProbeResult result) {
             auto* runner = m_registry.find(id);
             if (!runner)
                 return;
-            const auto time = m_clock();
             runner->isProbed = false;
-            m_registry.heard(*runner, time);
+            const bool isDead = runner->heardAt < begunAt && provesDeath(result, begunAt);
             telemetry::logInfo("silent-runner-probed",
-                { { "runner", id }, { "reachable", isReachable }, { "silence_ms", toSeconds(silence) * 1000.0 },
-                    { "requests", runner->ownLoad } });
-            if (isReachable)
+                { { "runner", id }, { "reachable", result == ProbeResult::Accepted }, { "dead", isDead },
+                    { "silence_ms", toSeconds(silence) * 1000.0 }, { "requests", runner->ownLoad } });
+            runner->heardAt = std::max(runner->heardAt, begunAt);
+            if (!isDead)
                 return;
-            m_registry.observe(*runner, runners::Observation::CannotConnect, time);
+            m_registry.observe(*runner, runners::Observation::CannotConnect, m_clock());
             abandon(id);
         });
     }
 }
 
+bool Router::provesDeath(ProbeResult result, TimePoint begunAt) const
+{
+    // Silence proves nothing if no runner was heard meanwhile: then the link of this host may be held up.
+    return result == ProbeResult::Refused || (result == ProbeResult::NoAnswer && m_registry.lastHeardAt() > begunAt);
+}
+
 void Router::abandon(const std::string& runner)
 {
     std::vector<std::shared_ptr<Session>> waiting;
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -75,7 +75,7 @@
     void wakeUp(TimePoint now);
 
     /// @brief Probes runners that fell silent under requests, so that these need not wait for a dead one.
-    void checkSilence(TimePoint now);
+    void checkSilence();
     /// @brief Brings the gauges of this loop up to date.
     void updateMetrics(TimePoint now);
 
@@ -87,6 +87,10 @@
 private:
     friend class Session;
 
+    using ProbeResult = upstream::ConnectionPool::ProbeResult;
+
+    /// Whether a probe shows that a runner is gone.
+    bool provesDeath(ProbeResult result, TimePoint begunAt) const;
     /// A runner could not be reached: nothing more is expected of it.
     void abandon(const std::string& runner);
 
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -99,11 +99,17 @@
         runner.heardAt = now;
 }
 
-std::vector<Runner*> Registry::silentRunners(TimePoint now) const
+void Registry::heard(Runner& runner, TimePoint now)
+{
+    runner.heardAt = now;
+    m_lastHeardAt = std::max(m_lastHeardAt, now);
+}
+
+std::vector<Runner*> Registry::silentRunners() const
 {
     std::vector<Runner*> result;
     for (const auto& [id, runner] : m_runners) {
-        if (runner->ownLoad > 0 && !runner->isProbed && now - runner->heardAt > m_options.silence)
+        if (runner->ownLoad > 0 && !runner->isProbed && m_lastHeardAt - runner->heardAt > m_options.silence)
             result.push_back(runner.get());
     }
     return result;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -64,9 +64,12 @@
     double load(const Runner& runner, TimePoint now) const;
 
     void dispatched(Runner& runner, TimePoint now);
-    void heard(Runner& runner, TimePoint now) { runner.heardAt = now; }
-    /// @brief Runners that have requests of this daemon and were silent for too long, and are not being probed.
-    std::vector<Runner*> silentRunners(TimePoint now) const;
+    void heard(Runner& runner, TimePoint now);
+    /// @brief Time at which any runner was heard last.
+    TimePoint lastHeardAt() const { return m_lastHeardAt; }
+    /// @brief Runners that have requests of this daemon, were silent for too long while others were heard, and are not
+    /// being probed. Where nothing is heard, this host's own link is the cause.
+    std::vector<Runner*> silentRunners() const;
     /// @brief An attempt at a runner ended.
     /// @return whether the runner was suspended by that
     bool finished(Runner& runner, Observation observation, TimePoint now);
@@ -93,6 +96,7 @@
 
     RegistryOptions m_options;
     std::optional<TimePoint> m_firstListedAt;
+    TimePoint m_lastHeardAt {};
     std::map<std::string, std::unique_ptr<Runner>, std::less<>> m_runners;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
 };
--- a/src/store/DeltaCodec.cpp
+++ b/src/store/DeltaCodec.cpp
@@ -1,6 +1,8 @@
 #include "store/DeltaCodec.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <zlib.h>
 
 namespace eelgrassford::store {
 
@@ -10,6 +12,33 @@
 
     json::binary_t toBinary(const std::string& bytes) { return json::binary_t({ bytes.begin(), bytes.end() }); }
 
+    /// Largest delta that is accepted, uncompressed.
+    constexpr std::size_t largestDelta = 64u << 20;
+
+    /// Published documents are text that shrinks to a tenth; thin links are shared with callers' streams.
+    std::string compressed(const std::string& bytes)
+    {
+        auto size = compressBound(bytes.size());
+        std::string result(size, '\0');
+        ::compress2(reinterpret_cast<Bytef*>(result.data()), &size, reinterpret_cast<const Bytef*>(bytes.data()),
+            bytes.size(), Z_BEST_SPEED);
+        result.resize(size);
+        return result;
+    }
+
+    std::optional<std::string> uncompressed(std::string_view bytes, std::size_t size)
+    {
+        if (size > largestDelta)
+            return std::nullopt;
+        std::string result(size, '\0');
+        uLongf length = size;
+        const auto status = ::uncompress(reinterpret_cast<Bytef*>(result.data()), &length,
+            reinterpret_cast<const Bytef*>(bytes.data()), bytes.size());
+        if (status != Z_OK || length != size)
+            return std::nullopt;
+        return result;
+    }
+
     std::string toText(const json& binary)
     {
         const auto& bytes = binary.get_binary();
@@ -27,15 +56,21 @@
     for (const auto& removal : delta.removals)
         removals.push_back({ removal.key, removal.revision,
             std::chrono::duration_cast<std::chrono::milliseconds>(removal.grace).count() });
+    std::string plain;
+    json::to_cbor(json { delta.since, delta.watchRevision, delta.isWhole, items, removals }, plain);
     std::string bytes;
-    json::to_cbor(json { delta.since, delta.watchRevision, delta.isWhole, items, removals }, bytes);
+    json::to_cbor(json { plain.size(), toBinary(compressed(plain)) }, bytes);
     return bytes;
 }
 
 tl::expected<Delta, ProtocolError> decodeDelta(std::string_view bytes)
 {
     try {
-        const auto document = json::from_cbor(bytes);
+        const auto envelope = json::from_cbor(bytes);
+        const auto plain = uncompressed(toText(envelope.at(1)), envelope.at(0).get<std::size_t>());
+        if (!plain)
+            return tl::unexpected(ProtocolError { "the delta cannot be uncompressed" });
+        const auto document = json::from_cbor(*plain);
         Delta delta;
         delta.since = document.at(0).get<std::uint64_t>();
         delta.watchRevision = document.at(1).get<std::uint64_t>();
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -340,7 +340,7 @@
         connection->close();
 }
 
-void ConnectionPool::probe(std::function<void(bool isReachable)> done)
+void ConnectionPool::probe(std::function<void(ProbeResult)> done)
 {
     struct Probe {
         asio::ip::tcp::socket socket;
@@ -358,7 +358,10 @@
         asio::error_code ignored;
         probe->timer.cancel();
         probe->socket.close(ignored);
-        done(!error);
+        if (!error)
+            done(ProbeResult::Accepted);
+        else
+            done(error == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::NoAnswer);
     });
 }
 
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -50,8 +50,8 @@
 struct ConnectionPoolOptions {
     /// Time in which a connection must be established; a runner in the same region accepts within milliseconds.
     Duration connectTimeout = std::chrono::milliseconds(400);
-    /// Time after which unacknowledged bytes end a connection.
-    Duration unacknowledgedTimeout = std::chrono::milliseconds(1500);
+    /// Time after which unacknowledged bytes end a connection; a thin link may be held up for a second or two.
+    Duration unacknowledgedTimeout = std::chrono::milliseconds(4000);
     /// Idle time of a connection whose peer names no time of its own.
     Duration idleTime = std::chrono::seconds(4);
     /// Part of the peer's own idle time that is used, so that a request does not cross its close.
@@ -82,8 +82,16 @@
     Handle start(Exchange exchange, ExchangeEvents events);
     /// @brief Ends an exchange without further events and closes its connection.
     static void cancel(const Handle& handle);
-    /// @brief Finds out whether the upstream accepts connections, by one that carries nothing.
-    void probe(std::function<void(bool isReachable)> done);
+    /// @brief What a connection that carries nothing showed.
+    enum class ProbeResult {
+        Accepted,
+        /// The host answered that nobody listens.
+        Refused,
+        /// Nothing came back in time; the fault may be on either side.
+        NoAnswer,
+    };
+    /// @brief Finds out whether the upstream accepts connections.
+    void probe(std::function<void(ProbeResult)> done);
     /// @brief Closes connections that were idle too long.
     void sweep(TimePoint now);
     /// @brief Closes every idle connection, as after the process was suspended.
