--- a/src/daemon/RequestSession.cpp
+++ b/src/daemon/RequestSession.cpp
@@ -35,23 +35,6 @@
         return AttemptEnd::Broken;
     }
 
-    const char* nameOf(AttemptFailure failure)
-    {
-        switch (failure) {
-        case AttemptFailure::NeverConnected:
-            return "never-connected";
-        case AttemptFailure::Declined:
-            return "declined";
-        case AttemptFailure::Broken:
-            return "broken";
-        case AttemptFailure::Crossed:
-            return "crossed";
-        case AttemptFailure::TimedOut:
-            return "timed-out";
-        }
-        return "unknown";
-    }
-
     /// Headers of a caller that go on to the upstream.
     bool isForwarded(const std::string& name)
     {
@@ -265,11 +248,11 @@
 
 void RequestSession::attemptFailed(AttemptFailure failure)
 {
-    m_shared.metrics.countAttemptFailure(nameOf(failure));
+    m_shared.metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     m_shared.control.attemptEnded(m_request.route.ticket, m_route->upstream, toAttemptEnd(failure));
     telemetry::logInfo("attempt-failed",
-        { { "ticket", m_request.route.ticket }, { "upstream", m_route->upstream }, { "kind", nameOf(failure) },
-            { "offset", m_lifecycle.offset() } });
+        { { "ticket", m_request.route.ticket }, { "upstream", m_route->upstream },
+            { "kind", dispatch::nameOf(failure) }, { "offset", m_lifecycle.offset() } });
     const auto random = [this] { return std::uniform_real_distribution<double>()(m_shared.random); };
     follow(m_lifecycle.fail(failure, currentTime(), budget(), random));
 }
--- a/src/dispatch/Lifecycle.cpp
+++ b/src/dispatch/Lifecycle.cpp
@@ -5,6 +5,23 @@
 
 namespace eelgrassford::dispatch {
 
+std::string_view nameOf(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NeverConnected:
+        return "never-connected";
+    case AttemptFailure::Declined:
+        return "declined";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::Crossed:
+        return "crossed";
+    case AttemptFailure::TimedOut:
+        return "timed-out";
+    }
+    return "broken";
+}
+
 Lifecycle::Lifecycle(const Options& options)
     : m_options(options)
 {
--- a/src/dispatch/Lifecycle.h
+++ b/src/dispatch/Lifecycle.h
@@ -5,6 +5,7 @@
 #include "dispatch/RetryBudget.h"
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace eelgrassford::dispatch {
@@ -22,6 +23,8 @@
     TimedOut,
 };
 
+std::string_view nameOf(AttemptFailure failure);
+
 /// @brief Send the request to an upstream, not before the given time.
 struct SendAt {
     TimePoint at;
--- a/src/dispatch/RelayPlan.cpp
+++ b/src/dispatch/RelayPlan.cpp
@@ -19,23 +19,6 @@
     return "abort";
 }
 
-std::string_view nameOf(AttemptFailure failure)
-{
-    switch (failure) {
-    case AttemptFailure::NeverConnected:
-        return "never-connected";
-    case AttemptFailure::Declined:
-        return "declined";
-    case AttemptFailure::Broken:
-        return "broken";
-    case AttemptFailure::Crossed:
-        return "crossed";
-    case AttemptFailure::TimedOut:
-        return "timed-out";
-    }
-    return "broken";
-}
-
 RelayPlan::RelayPlan(const Options& options)
     : m_options(options)
 {
--- a/src/dispatch/RelayPlan.h
+++ b/src/dispatch/RelayPlan.h
@@ -22,7 +22,6 @@
 };
 
 std::string_view nameOf(RelayStep step);
-std::string_view nameOf(AttemptFailure failure);
 
 /// @brief Decides on the attempts of one relayed request, which carries no idempotency key of ours.
 ///
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -127,8 +127,6 @@
     settings.retryAllowance = reader.number("retries.allowance", settings.retryAllowance, 0, 1e6);
     settings.retryWindow
         = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, mostSeconds));
-    settings.runnerHeartbeat = milliseconds(reader.number(
-        "runners.heartbeat_milliseconds", toSeconds(settings.runnerHeartbeat) * 1000.0, 10, mostMilliseconds));
     settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
     if (!reader.errors().empty())
         return tl::unexpected(SettingsError { reader.errors() });
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -35,7 +35,6 @@
     double retryRatio = 0.2;
     double retryAllowance = 0.0;
     Duration retryWindow = std::chrono::seconds(10);
-    Duration runnerHeartbeat = std::chrono::milliseconds(1200);
     /// Multiple of the mean load that no runner may exceed.
     double loadBound = 2.0;
 };
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -28,6 +28,8 @@
     constexpr double allowanceShares = 16.0;
     /// Part of the fleet's ratio that one daemon uses of its own requests; the rest covers late counting.
     constexpr double ratioShare = 0.85;
+    /// Part of the load bound up to which placement goes; the rest covers load that is not known yet.
+    constexpr double boundShare = 0.75;
     /// Part of the revocation time that a proof may age; the rest covers a watch that hears of a change late.
     constexpr double leaseShare = 0.8;
 
@@ -40,6 +42,7 @@
         options.retryBudget.ratio = settings.retryRatio * ratioShare;
         options.retryBudget.allowance = settings.retryAllowance / allowanceShares;
         options.retryBudget.window = settings.retryWindow;
+        options.placement.loadBound = settings.loadBound * boundShare;
         return options;
     }
 
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -45,6 +45,8 @@
     Duration timeLeft {};
     /// A resumed stream goes on behind this event.
     std::optional<std::uint64_t> lastEvent;
+    /// Rank among the runner's requests, 0 is the most urgent.
+    std::uint32_t priority = 0;
     /// Address of a runner from which the prompt's kept parts are to be fetched, as IP:PORT.
     std::string fetchPromptFrom;
 };
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -80,6 +80,7 @@
     start.request = std::move(request);
     start.facts = std::move(*facts);
     start.digest = digest;
+    start.priority = admission.priority;
     budgetOf(start.service, now).recordFirst(now);
     std::make_shared<Session>(*this, std::move(start), responder)->run();
 }
@@ -96,6 +97,7 @@
         result.refusal = Refusal { statusNotFound, "unknown-route", {} };
         return result;
     }
+    result.priority = result.route->priority;
     result.refusal = refuseWhileStopping(*result.route, now);
     if (result.refusal || result.route->isPublic || !m_routes->hasOrganisations())
         return result;
@@ -110,6 +112,7 @@
         return result;
     }
     result.organisation = organisation->name;
+    result.priority = organisation->priority.value_or(result.priority);
     return result;
 }
 
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -104,6 +104,8 @@
     struct Admission {
         const routing::Route* route = nullptr;
         std::string organisation;
+        /// The organisation's priority, or else the route's.
+        std::uint32_t priority = 0;
         std::optional<Refusal> refusal;
     };
 
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -16,8 +16,6 @@
     constexpr std::uint16_t statusUnavailable = 503;
     constexpr std::uint16_t statusGatewayTimeout = 504;
     constexpr std::size_t responseBodyLimit = 16u << 20;
-    /// Mean time after which a request that found no runner is asked to come back.
-    constexpr Duration retryAfterNoRunner = std::chrono::milliseconds(300);
     /// Part of the time left that must remain for another attempt before the present one is left.
     constexpr Duration leastTimeForAttempt = std::chrono::milliseconds(100);
     /// Prompt tokens from which fetching them costs less than computing them again.
@@ -116,6 +114,7 @@
     ForwardFacts facts;
     facts.organisation = m_start.organisation;
     facts.runner = runner.entry.id;
+    facts.priority = m_start.priority;
     facts.timeLeft = m_start.deadline - now;
     if (m_lastEvent > 0)
         facts.lastEvent = m_lastEvent;
@@ -424,52 +423,4 @@
     finish("caller-left", 0, {});
 }
 
-void Session::answerNotRun(std::string_view detail)
-{
-    m_router.refuse(
-        *m_responder, m_start.facts, { statusUnavailable, "no-runner", m_router.jitter(retryAfterNoRunner) });
-    finish("not-run", statusUnavailable, detail);
-}
-
-void Session::answerUnknown(std::uint16_t status, std::string_view detail)
-{
-    m_router.refuse(*m_responder, m_start.facts, { status, "outcome-unknown", {} });
-    finish("unknown", status, detail);
-}
-
-void Session::finish(std::string_view outcome, std::uint16_t status, std::string_view detail)
-{
-    if (std::exchange(m_isFinished, true))
-        return;
-    m_timer.cancel();
-    const auto now = m_router.now();
-    const auto elapsed = now - m_start.arrivedAt;
-    m_router.m_metrics.countOutcome(std::string(outcome));
-    m_router.m_metrics.observeRequest(std::string(outcome), toSeconds(elapsed));
-    if (m_firstByteAt)
-        m_router.m_metrics.observeFirstByte(toSeconds(*m_firstByteAt - m_start.arrivedAt));
-    if (outcome == "answered")
-        m_router.m_crashes.recordServed(m_start.digest);
-    log(outcome, status, detail, now);
-    m_responder.reset();
-}
-
-void Session::log(std::string_view outcome, std::uint16_t status, std::string_view detail, TimePoint now) const
-{
-    // Only requests that went well at once may be skipped under load.
-    const bool isPlain = outcome == "answered" && m_plan.attempts() == 1;
-    if (isPlain && !m_router.m_plainLines.tryTake(now))
-        return;
-    const double firstByte = m_firstByteAt ? milliseconds(*m_firstByteAt - m_start.arrivedAt) : -1.0;
-    telemetry::logInfo("request",
-        { { "request", m_start.facts.attemptId }, { "route", m_start.route->name },
-            { "revision", m_start.routes->revision() }, { "organisation", m_start.organisation },
-            { "service", m_start.service }, { "runner", m_lastRunner }, { "attempts", m_plan.attempts() },
-            { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
-            { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usable) },
-            { "fetched", m_placement.source != nullptr }, { "status", static_cast<int>(status) },
-            { "outcome", outcome }, { "first_byte_ms", firstByte }, { "ms", milliseconds(now - m_start.arrivedAt) },
-            { "detail", detail } });
-}
-
 }
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -17,6 +17,7 @@
         const routing::Route* route = nullptr;
         std::string service;
         std::string organisation;
+        std::uint32_t priority = 0;
         /// Digest of caller, target and body, equal on every daemon.
         dispatch::RequestDigest digest = 0;
         TimePoint arrivedAt {};
--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -56,14 +56,8 @@
 /// @brief A destination with its limits.
 struct Service {
     std::string name;
-    /// Connections that one upstream accepts from all daemons together.
-    std::uint32_t maxConnections = 0;
     /// Whether its upstreams are model engines, which keep prompts.
     bool isModel = false;
-    /// Requests that one engine runs at once; 0 if not stated.
-    std::uint32_t engineSlots = 0;
-    /// Tokens that the memory of one engine holds.
-    std::uint64_t memoryTokens = 0;
 };
 
 /// @brief An organisation with the credentials that its callers may use.
