Add a seeded fault soak of real processes

The users ask for a soak that disturbs real programs from outside. tests/soak starts a store, runners and daemons on loopback, puts a proxy on each link, and plays a seeded schedule of overlapping steps: stops, kills, freezes, restarts, reloads, revisions, keys taken away, draining runners, silent, slow and reset links, store outages. Callers keep using their connections. Checked from what callers and runners saw: whole own answers, bookings once, true refusals, keys that are gone after 5 s, nothing cut, denied or failed by planned work, all daemons serving again after the faults.

Tried and reverted: suspending a runner whose failures exceed the others' by three standard deviations.

--- a/standins/PlatformRunner.cpp
+++ b/standins/PlatformRunner.cpp
@@ -1,6 +1,8 @@
 #include "StandIns.h"
 
+#include "daemon/SystemClock.h"
 #include "gateway/HttpServer.h"
+#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -52,6 +54,7 @@
         void run(const std::string& id, const HttpRequest& request, const std::shared_ptr<Responder>& responder)
         {
             ++m_runs[id];
+            appendToLog(id);
             if (m_fault == "cut") {
                 responder->abort();
                 return;
@@ -75,6 +78,16 @@
             step(stream);
         }
 
+        void appendToLog(const std::string& id) const
+        {
+            if (m_options.runLog.empty())
+                return;
+            // One line a write, so that runners may share the file.
+            std::ofstream file(m_options.runLog, std::ios::app);
+            file << id + " " + m_options.name + " " + std::to_string(daemon::currentTime().time_since_epoch().count())
+                    + "\n";
+        }
+
         void step(const std::shared_ptr<Stream>& stream)
         {
             if (stream->isGone)
--- a/standins/StandIns.h
+++ b/standins/StandIns.h
@@ -56,6 +56,8 @@
     double runSeconds = 0.01;
     /// Events of a stream.
     int events = 40;
+    /// File to which each run is appended, with the runner and the time; empty for none. It outlives the process.
+    std::string runLog;
 };
 
 void runStore(asio::io_context& context, const StoreOptions& options);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -61,6 +61,8 @@
         ->capture_default_str();
     runnerCommand->add_option("--events", runner.events, "Events of a stream")->capture_default_str();
 
+    runnerCommand->add_option("--run-log", runner.runLog, "File to which runs are appended");
+
     CLI11_PARSE(app, argumentCount, arguments);
     try {
         asio::io_context context;
--- /dev/null
+++ b/tests/soak/Installation.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "daemon/SystemClock.h"
+#include "soak/LoopbackProxy.h"
+#include "soak/Processes.h"
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassford::soak {
+
+/// @brief Real programs on loopback: a store, runners and daemons, each daemon and runner behind proxies.
+class Installation {
+public:
+    struct Options {
+        /// Directory of the built programs.
+        std::filesystem::path programs;
+        std::filesystem::path work;
+        /// Second part of all addresses, so that installations can run side by side.
+        int base = 48;
+        std::size_t daemons = 3;
+        std::size_t runners = 4;
+    };
+
+    Installation(asio::io_context& context, const Options& options);
+
+    void startAll();
+    void startDaemon(std::size_t daemon);
+    void startRunner(std::size_t runner);
+    /// @brief Publishes a greater revision of the configuration with these keys.
+    /// @return whether the store took it
+    bool publish(const std::vector<std::string>& keys);
+    bool listRunner(std::size_t runner, std::string_view state);
+    bool setStoreFault(std::string_view name);
+    bool setRunnerFault(std::size_t runner, std::string_view name);
+    bool isReady(std::size_t daemon);
+
+    /// @brief Puts processes and links back into order, and starts what does not run.
+    void heal();
+
+    Processes& processes() { return m_processes; }
+    LoopbackProxy& callerLink(std::size_t daemon) { return *m_callerLinks[daemon]; }
+    LoopbackProxy& storeLink(std::size_t daemon) { return *m_storeLinks[daemon]; }
+    LoopbackProxy& runnerLink(std::size_t runner) { return *m_runnerLinks[runner]; }
+    std::vector<asio::ip::tcp::endpoint> callerEndpoints() const;
+    std::filesystem::path runLog() const { return m_options.work / "runs"; }
+    const Options& options() const { return m_options; }
+
+    static std::string daemonName(std::size_t daemon) { return "daemon-" + std::to_string(daemon + 1); }
+    static std::string runnerName(std::size_t runner) { return "runner-" + std::to_string(runner + 1); }
+
+private:
+    enum class Net { Store = 0, Daemon = 1, Runner = 2, CallerLink = 3, StoreLink = 4, RunnerLink = 5 };
+
+    asio::ip::tcp::endpoint endpoint(Net net, std::size_t index, std::uint16_t port) const;
+    std::string address(Net net, std::size_t index, std::uint16_t port) const;
+    void writeSettings(std::size_t daemon) const;
+    std::string output(const std::string& name) const { return (m_options.work / (name + ".log")).string(); }
+    /// One HTTP exchange; false if there was no answer with status 200 within a second.
+    bool call(const asio::ip::tcp::endpoint& endpoint, std::string_view method, const std::string& target,
+        const std::string& body = {});
+
+    asio::io_context& m_context;
+    Options m_options;
+    Processes m_processes;
+    std::vector<std::unique_ptr<LoopbackProxy>> m_callerLinks;
+    std::vector<std::unique_ptr<LoopbackProxy>> m_storeLinks;
+    std::vector<std::unique_ptr<LoopbackProxy>> m_runnerLinks;
+    std::vector<std::uint64_t> m_lifetimes;
+    std::uint64_t m_revision = 0;
+};
+
+}
--- /dev/null
+++ b/tests/soak/Schedule.cpp
@@ -0,0 +1,76 @@
+#include "soak/Schedule.h"
+
+#include <array>
+#include <random>
+
+namespace eelgrassford::soak {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    struct ActionName {
+        Action action;
+        std::string_view name;
+    };
+
+    constexpr std::array actionNames {
+        ActionName { Action::StopDaemon, "stop-daemon" },
+        ActionName { Action::ReloadDaemon, "reload-daemon" },
+        ActionName { Action::PublishRevision, "publish-revision" },
+        ActionName { Action::ReplaceKey, "replace-key" },
+        ActionName { Action::DrainRunner, "drain-runner" },
+        ActionName { Action::KillDaemon, "kill-daemon" },
+        ActionName { Action::FreezeDaemon, "freeze-daemon" },
+        ActionName { Action::KillRunner, "kill-runner" },
+        ActionName { Action::FreezeRunner, "freeze-runner" },
+        ActionName { Action::CutRunnerAnswers, "cut-runner-answers" },
+        ActionName { Action::FillRunner, "fill-runner" },
+        ActionName { Action::StoreDown, "store-down" },
+        ActionName { Action::StoreBusy, "store-busy" },
+        ActionName { Action::FreezeStore, "freeze-store" },
+        ActionName { Action::CutStoreLink, "cut-store-link" },
+        ActionName { Action::SlowStoreLink, "slow-store-link" },
+        ActionName { Action::ResetCallerLink, "reset-caller-link" },
+        ActionName { Action::SlowCallerLink, "slow-caller-link" },
+        ActionName { Action::ResetRunnerLink, "reset-runner-link" },
+        ActionName { Action::SlowRunnerLink, "slow-runner-link" },
+        ActionName { Action::SilenceToRunner, "silence-to-runner" },
+        ActionName { Action::SilenceFromRunner, "silence-from-runner" },
+    };
+
+    constexpr std::size_t plannedActions = 5;
+    constexpr milliseconds longestGap { 900 };
+    constexpr milliseconds shortestDuration { 200 };
+    /// Longer than every timeout of the daemon but the callers' deadlines.
+    constexpr milliseconds longestDuration { 4000 };
+
+    milliseconds between(std::mt19937_64& random, milliseconds least, milliseconds most)
+    {
+        return milliseconds(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(random));
+    }
+
+}
+
+std::string_view nameOf(Action action) { return actionNames[static_cast<std::size_t>(action)].name; }
+
+bool isPlanned(Action action) { return static_cast<std::size_t>(action) < plannedActions; }
+
+std::vector<Step> drawSchedule(std::uint64_t seed, milliseconds length)
+{
+    constexpr std::uint64_t plannedOnlyEach = 3;
+    std::mt19937_64 random(seed);
+    const auto actions = seed % plannedOnlyEach == 0 ? plannedActions : actionNames.size();
+    std::vector<Step> result;
+    for (auto at = between(random, {}, longestGap); at < length; at += between(random, {}, longestGap)) {
+        Step step;
+        step.at = at;
+        step.action = static_cast<Action>(random() % actions);
+        step.target = random();
+        step.duration = between(random, shortestDuration, longestDuration);
+        result.push_back(step);
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,67 @@
+#include "soak/Soak.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace eelgrassford::soak;
+
+namespace {
+
+/// Seeds of a file: the first word of each line, the rest says what the seed once showed.
+std::vector<std::uint64_t> readSeeds(const std::string& path)
+{
+    std::vector<std::uint64_t> result;
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line)) {
+        std::istringstream words(line);
+        std::uint64_t seed = 0;
+        if (words >> seed)
+            result.push_back(seed);
+    }
+    return result;
+}
+
+}
+
+int main(int argumentCount, char** arguments)
+{
+    CLI::App app { "Disturbs real daemons, runners and a store on loopback, and checks what callers and runners see." };
+    Soak::Options options;
+    std::vector<std::uint64_t> seeds;
+    std::string seedFile;
+    std::string work = "soak";
+    std::int64_t seconds = 15;
+    app.add_option("--programs", options.installation.programs, "Directory of the built programs")->required();
+    app.add_option("--seeds", seeds, "Seeds to play");
+    app.add_option("--seed-file", seedFile, "File with more seeds, one a line");
+    app.add_option("--seconds", seconds, "Length of the disturbed time of a seed")->capture_default_str();
+    app.add_option("--base", options.installation.base, "Addresses lie in 127.BASE.0.0/16")->capture_default_str();
+    app.add_option("--daemons", options.installation.daemons, "Daemons")->capture_default_str();
+    app.add_option("--runners", options.installation.runners, "Runners")->capture_default_str();
+    app.add_option("--callers", options.callers, "Callers")->capture_default_str();
+    app.add_option("--work", work, "Directory for settings and logs, one below for each seed")->capture_default_str();
+    bool areLogsKept = false;
+    app.add_flag("--keep", areLogsKept, "Keep the logs of seeds that pass");
+    CLI11_PARSE(app, argumentCount, arguments);
+    options.length = std::chrono::seconds(seconds);
+    if (!seedFile.empty()) {
+        const auto more = readSeeds(seedFile);
+        seeds.insert(seeds.end(), more.begin(), more.end());
+    }
+    std::size_t failed = 0;
+    for (const auto seed : seeds) {
+        options.seed = seed;
+        options.installation.work = std::filesystem::path(work) / std::to_string(seed);
+        std::filesystem::remove_all(options.installation.work);
+        const bool isKept = Soak(options, std::cout).play();
+        failed += isKept ? 0 : 1;
+        // Logs of seeds that failed are kept.
+        if (isKept && !areLogsKept)
+            std::filesystem::remove_all(options.installation.work);
+    }
+    std::cout << seeds.size() - failed << " passed, " << failed << " failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
