--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -21,6 +21,9 @@
 /// @brief Converts a duration to seconds.
 constexpr double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+/// @brief Converts a duration to milliseconds, as logs state it.
+constexpr double toMilliseconds(Duration duration) { return toSeconds(duration) * 1000.0; }
+
 /// @brief Converts seconds to a duration.
 constexpr Duration fromSeconds(double seconds)
 {
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -155,7 +155,7 @@
         m_hasFailed = hasFailed;
         telemetry::logWarning(hasFailed ? "store-lost" : "store-regained",
             { { "detail", m_mirror.failure() },
-                { "proof_age_ms", provenAt ? toSeconds(now - *provenAt) * 1000.0 : -1.0 } });
+                { "proof_age_ms", provenAt ? toMilliseconds(now - *provenAt) : -1.0 } });
     }
     if (!provenAt || (m_provenAt && *provenAt <= *m_provenAt))
         return;
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -122,7 +122,7 @@
     settings.seeds = reader.texts("fleet.seeds");
     settings.grace = fromSeconds(reader.number("stop.grace_seconds", toSeconds(settings.grace), 0.5, mostSeconds));
     settings.revocation = milliseconds(reader.number(
-        "credentials.revocation_milliseconds", toSeconds(settings.revocation) * 1000.0, 100, mostMilliseconds));
+        "credentials.revocation_milliseconds", toMilliseconds(settings.revocation), 100, mostMilliseconds));
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio, 0, 10);
     settings.retryAllowance = reader.number("retries.allowance", settings.retryAllowance, 0, 1e6);
     settings.retryWindow
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -36,7 +36,6 @@
     proxy::RouterOptions routerOptions(const RelaySettings& settings)
     {
         proxy::RouterOptions options;
-        options.host = settings.host;
         options.dataCentre = settings.dataCentre;
         options.credentialLease = fromSeconds(toSeconds(settings.revocation) * leaseShare);
         options.retryBudget.ratio = settings.retryRatio * ratioShare;
@@ -168,7 +167,7 @@
     if (!(isOutOfRotation && isIdle) && !isOver)
         return;
     telemetry::logInfo("stop-drained",
-        { { "after_ms", toSeconds(elapsed) * 1000.0 }, { "cut", static_cast<std::uint64_t>(m_router.underWay()) } });
+        { { "after_ms", toMilliseconds(elapsed) }, { "cut", static_cast<std::uint64_t>(m_router.underWay()) } });
     std::exchange(m_ended, nullptr)();
 }
 
--- /dev/null
+++ b/src/proxy/OverloadControl.cpp
@@ -0,0 +1,98 @@
+#include "proxy/OverloadControl.h"
+
+#include "telemetry/DecisionLog.h"
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassford::proxy {
+
+namespace {
+
+    /// Time for which a measured load is used: a few requests of a busy daemon.
+    constexpr Duration measureInterval = std::chrono::milliseconds(20);
+
+}
+
+std::optional<Duration> OverloadControl::refuse(
+    const std::string& service, std::string_view requestId, const admission::Offer& offer, TimePoint now)
+{
+    auto& entry = serviceOf(service, now);
+    measure(service, entry, now);
+    const auto decision = entry.shedder.decide(offer, entry.load, now);
+    if (decision.verdict == admission::Verdict::Admitted)
+        return std::nullopt;
+    const auto bound = entry.shedder.bound(entry.load);
+    telemetry::logInfo("overload-refusal",
+        { { "request", requestId }, { "service", service }, { "organisation", offer.organisation },
+            { "verdict", admission::nameOf(decision.verdict) }, { "priority", offer.priority },
+            { "surging", decision.isSurging }, { "share", decision.share }, { "pressure", decision.pressure },
+            { "under_way", entry.load.underWay }, { "bound", bound },
+            { "expected_wait_ms", toMilliseconds(decision.expectedWait) },
+            { "retry_after_ms", toMilliseconds(decision.retryAfter) } });
+    if (!std::exchange(entry.isOverloaded, true))
+        telemetry::logWarning("service-overloaded",
+            { { "service", service }, { "pressure", decision.pressure }, { "under_way", entry.load.underWay },
+                { "slots", entry.load.slots }, { "bound", bound } });
+    return decision.retryAfter;
+}
+
+void OverloadControl::recordFirstByte(const std::string& service, bool isLate, TimePoint now)
+{
+    serviceOf(service, now).shedder.recordFirstByte(isLate, now);
+}
+
+void OverloadControl::recordService(const std::string& service, std::string_view route, Duration time, TimePoint now)
+{
+    serviceOf(service, now).shedder.recordService(route, time);
+}
+
+void OverloadControl::sweep(TimePoint now)
+{
+    for (auto& [name, service] : m_services) {
+        service.shedder.sweep(now);
+        if (!service.isOverloaded)
+            continue;
+        measure(name, service, now);
+        if (!service.shedder.isCalm(service.load))
+            continue;
+        service.isOverloaded = false;
+        telemetry::logInfo("service-recovered",
+            { { "service", name }, { "under_way", service.load.underWay }, { "slots", service.load.slots } });
+    }
+}
+
+void OverloadControl::updateMetrics(telemetry::Metrics& metrics, TimePoint now)
+{
+    for (auto& [name, service] : m_services) {
+        measure(name, service, now);
+        const telemetry::Metrics::Labels labels { { "service", name } };
+        metrics.setGauge("eelgrassford_service_under_way", service.load.underWay, labels);
+        metrics.setGauge("eelgrassford_service_bound", service.shedder.bound(service.load), labels);
+        metrics.setGauge("eelgrassford_service_overloaded", service.isOverloaded ? 1.0 : 0.0, labels);
+    }
+}
+
+OverloadControl::Service& OverloadControl::serviceOf(const std::string& name, TimePoint now)
+{
+    const auto found = m_services.find(name);
+    if (found != m_services.end())
+        return found->second;
+    return m_services.emplace(name, Service { admission::LoadShedder(now), {}, {}, false }).first->second;
+}
+
+void OverloadControl::measure(const std::string& name, Service& service, TimePoint now) const
+{
+    if (service.measuredAt && now - *service.measuredAt < measureInterval)
+        return;
+    service.measuredAt = now;
+    service.load = {};
+    for (const auto* runner : m_registry.runnersOf(name)) {
+        if (!m_registry.isUsable(*runner, now))
+            continue;
+        const double slots = runner->entry.slots;
+        service.load.slots += slots;
+        service.load.underWay += std::min(m_registry.load(*runner, now), service.shedder.runnerLimit(slots));
+    }
+}
+
+}
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -1,5 +1,7 @@
 #include "proxy/Router.h"
 
+#include "proxy/Status.h"
+
 #include "common/Hash.h"
 #include "proxy/Session.h"
 #include "telemetry/DecisionLog.h"
@@ -8,10 +10,6 @@
 
 namespace {
 
-    constexpr std::uint16_t statusBadRequest = 400;
-    constexpr std::uint16_t statusUnauthorized = 401;
-    constexpr std::uint16_t statusNotFound = 404;
-    constexpr std::uint16_t statusUnavailable = 503;
     /// Mean time after which a caller is asked to come back while this daemon knows too little.
     constexpr Duration retryAfterNotReady = std::chrono::milliseconds(500);
     /// Time after which a caller is asked to come back, to another daemon, while this one stops.
@@ -21,8 +19,6 @@
     /// Longest that a stream is expected to take: the users' longest has 223 events of about 20 ms, behind a prompt.
     constexpr Duration expectedStreamTime = std::chrono::milliseconds(4700);
     constexpr Duration expectedRequestTime = std::chrono::milliseconds(1500);
-    /// Time for which the measured load of a service is used: a few requests of a busy daemon.
-    constexpr Duration loadInterval = std::chrono::milliseconds(20);
     constexpr double tenths = 10.0;
     /// Fewer served requests than this say too little of a runner to be told, in tenths.
     constexpr std::uint32_t leastServedTenths = 10;
@@ -48,6 +44,7 @@
     , m_clock(std::move(clock))
     , m_random(std::random_device {}())
     , m_registry(options.registry)
+    , m_overload(m_registry)
     , m_prompts(options.rememberedSessions)
     , m_plainLines(options.plainLinesPerSecond)
     , m_startedAt(m_clock())
@@ -60,24 +57,24 @@
     auto facts = m_codec.decodeRequest(request);
     if (!facts) {
         telemetry::logInfo("request-refused", { { "reason", "malformed" }, { "detail", facts.error().what } });
-        refuse(*responder, {}, { statusBadRequest, "malformed-request", {} });
+        refuse(*responder, {}, { status::badRequest, "malformed-request", {} });
         return;
     }
     const auto digest = digestOf(request, *facts);
     auto admission = admit(request, *facts, now);
     if (!admission.refusal && m_crashes.isQuarantined(digest))
-        admission.refusal = Refusal { statusUnavailable, "crashes-runners", retryAfterQuarantine };
+        admission.refusal = Refusal { status::unavailable, "crashes-runners", retryAfterQuarantine };
     std::string service;
     if (!admission.refusal) {
         service = routing::chooseDestination(*admission.route, draw());
-        admission.refusal = refuseUnderOverload(*facts, *admission.route, admission, service, now);
+        admission.refusal = refuseUnderOverload(*facts, admission, service, now);
     }
     if (admission.refusal) {
         telemetry::logInfo("request-refused",
             { { "request", facts->attemptId }, { "reason", admission.refusal->reason },
                 { "status", static_cast<int>(admission.refusal->status) },
                 { "revision", m_routes ? m_routes->revision() : 0 },
-                { "proof_age_ms", m_provenAt ? toSeconds(now - *m_provenAt) * 1000.0 : -1.0 } });
+                { "proof_age_ms", m_provenAt ? toMilliseconds(now - *m_provenAt) : -1.0 } });
         m_metrics.countOutcome(admission.refusal->reason);
         refuse(*responder, *facts, *admission.refusal);
         return;
@@ -101,12 +98,12 @@
 {
     Admission result;
     if (!m_routes) {
-        result.refusal = Refusal { statusUnavailable, "not-configured", retryAfterNotReady };
+        result.refusal = Refusal { status::unavailable, "not-configured", retryAfterNotReady };
         return result;
     }
     result.route = m_routes->findRoute(routing::hostName(facts.host), request.path());
     if (!result.route) {
-        result.refusal = Refusal { statusNotFound, "unknown-route", {} };
+        result.refusal = Refusal { status::notFound, "unknown-route", {} };
         return result;
     }
     result.priority = result.route->priority;
@@ -115,12 +112,12 @@
         return result;
     // Credentials may have been withdrawn since this daemon last knew the configuration to be current.
     if (!isCredentialLeaseValid(now)) {
-        result.refusal = Refusal { statusUnavailable, "credentials-not-verifiable", retryAfterNotReady };
+        result.refusal = Refusal { status::unavailable, "credentials-not-verifiable", retryAfterNotReady };
         return result;
     }
     const auto* organisation = m_routes->findOrganisation(facts.credential);
     if (!organisation) {
-        result.refusal = Refusal { statusUnauthorized, "unknown-credential", {} };
+        result.refusal = Refusal { status::unauthorized, "unknown-credential", {} };
         return result;
     }
     result.organisation = organisation->name;
@@ -136,75 +133,23 @@
                                                                      : std::min(route.timeout, expectedRequestTime);
     if (now + expected < *m_stopBy)
         return std::nullopt;
-    return Refusal { statusUnavailable, "stopping", retryAfterStopping };
-}
-
-Router::ServiceControl& Router::controlOf(const std::string& service, TimePoint now)
-{
-    const auto found = m_controls.find(service);
-    if (found != m_controls.end())
-        return found->second;
-    return m_controls.emplace(service, ServiceControl { admission::LoadShedder(now), {}, {}, false }).first->second;
+    return Refusal { status::unavailable, "stopping", retryAfterStopping };
 }
 
-void Router::measureLoad(const std::string& service, ServiceControl& control, TimePoint now) const
+std::optional<Router::Refusal> Router::refuseUnderOverload(
+    const RequestFacts& facts, const Admission& admission, const std::string& service, TimePoint now)
 {
-    if (control.measuredAt && now - *control.measuredAt < loadInterval)
-        return;
-    control.measuredAt = now;
-    control.load = {};
-    for (const auto* runner : m_registry.runnersOf(service)) {
-        if (!m_registry.isUsable(*runner, now))
-            continue;
-        const double slots = runner->entry.slots;
-        control.load.slots += slots;
-        control.load.underWay += std::min(m_registry.load(*runner, now), control.shedder.runnerLimit(slots));
-    }
-}
-
-std::optional<Router::Refusal> Router::refuseUnderOverload(const RequestFacts& facts, const routing::Route& route,
-    const Admission& admission, const std::string& service, TimePoint now)
-{
-    auto& control = controlOf(service, now);
-    measureLoad(service, control, now);
     admission::Offer offer;
     offer.organisation = admission.organisation;
-    offer.route = route.name;
+    offer.route = admission.route->name;
     offer.priority = admission.priority;
-    offer.latencyObjective = route.latencyObjective;
-    offer.timeLeft = timeAllowed(route, facts);
+    offer.latencyObjective = admission.route->latencyObjective;
+    offer.timeLeft = timeAllowed(*admission.route, facts);
     offer.draw = unitDraw();
     offer.returnDraw = unitDraw();
-    const auto decision = control.shedder.decide(offer, control.load, now);
-    if (decision.verdict == admission::Verdict::Admitted)
-        return std::nullopt;
-    telemetry::logInfo("overload-refusal",
-        { { "request", facts.attemptId }, { "service", service }, { "organisation", admission.organisation },
-            { "verdict", admission::nameOf(decision.verdict) }, { "priority", admission.priority },
-            { "surging", decision.isSurging }, { "share", decision.share }, { "pressure", decision.pressure },
-            { "under_way", control.load.underWay }, { "bound", control.shedder.bound(control.load) },
-            { "expected_wait_ms", toSeconds(decision.expectedWait) * 1000.0 },
-            { "retry_after_ms", toSeconds(decision.retryAfter) * 1000.0 } });
-    if (!std::exchange(control.isOverloaded, true))
-        telemetry::logWarning("service-overloaded",
-            { { "service", service }, { "pressure", decision.pressure }, { "under_way", control.load.underWay },
-                { "slots", control.load.slots }, { "bound", control.shedder.bound(control.load) } });
-    return Refusal { statusUnavailable, "overloaded", decision.retryAfter };
-}
-
-void Router::noteRecovery(TimePoint now)
-{
-    for (auto& [service, control] : m_controls) {
-        control.shedder.sweep(now);
-        if (!control.isOverloaded)
-            continue;
-        measureLoad(service, control, now);
-        if (!control.shedder.isCalm(control.load))
-            continue;
-        control.isOverloaded = false;
-        telemetry::logInfo("service-recovered",
-            { { "service", service }, { "under_way", control.load.underWay }, { "slots", control.load.slots } });
-    }
+    if (const auto retryAfter = m_overload.refuse(service, facts.attemptId, offer, now))
+        return Refusal { status::unavailable, "overloaded", *retryAfter };
+    return std::nullopt;
 }
 
 void Router::examine(const std::string& id, dispatch::RequestDigest request)
@@ -235,7 +180,7 @@
         state.servedTenths = static_cast<std::uint32_t>(served * tenths);
         state.failedTenths = static_cast<std::uint32_t>(failed * tenths);
         if (now < runner->suspendedUntil)
-            state.suspendedMs = static_cast<std::uint32_t>(toSeconds(runner->suspendedUntil - now) * 1000.0);
+            state.suspendedMs = static_cast<std::uint32_t>(toMilliseconds(runner->suspendedUntil - now));
         const bool isWorthTelling = state.underWay > 0 || state.suspendedMs > 0 || state.failedTenths > 0
             || state.servedTenths >= leastServedTenths;
         if (isWorthTelling)
@@ -322,7 +267,7 @@
 void Router::sweep(TimePoint now)
 {
     m_crashes.tick(now);
-    noteRecovery(now);
+    m_overload.sweep(now);
     if (const auto skipped = m_plainLines.takeSkipped())
         telemetry::logInfo("lines-skipped", { { "plain_requests", skipped } });
     for (auto& [id, pool] : m_pools)
@@ -343,7 +288,7 @@
             const bool isDead = runner->heardAt < begunAt && provesDeath(result, begunAt);
             telemetry::logInfo("silent-runner-probed",
                 { { "runner", id }, { "reachable", result == ProbeResult::Accepted }, { "dead", isDead },
-                    { "silence_ms", toSeconds(silence) * 1000.0 }, { "requests", runner->ownLoad } });
+                    { "silence_ms", toMilliseconds(silence) }, { "requests", runner->ownLoad } });
             runner->heardAt = std::max(runner->heardAt, begunAt);
             if (!isDead)
                 return;
@@ -393,13 +338,7 @@
     for (const auto& [service, count] : connections)
         m_metrics.setTotal(
             "eelgrassford_runner_connections_total", static_cast<double>(count), { { "service", service } });
-    for (auto& [service, control] : m_controls) {
-        measureLoad(service, control, now);
-        const telemetry::Metrics::Labels labels { { "service", service } };
-        m_metrics.setGauge("eelgrassford_service_under_way", control.load.underWay, labels);
-        m_metrics.setGauge("eelgrassford_service_bound", control.shedder.bound(control.load), labels);
-        m_metrics.setGauge("eelgrassford_service_overloaded", control.isOverloaded ? 1.0 : 0.0, labels);
-    }
+    m_overload.updateMetrics(m_metrics, now);
     for (auto& [service, budget] : m_budgets)
         m_metrics.setGauge("eelgrassford_retries_left", budget.remaining(now), { { "service", service } });
 }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "admission/LoadShedder.h"
 #include "dispatch/CrashRegistry.h"
 #include "dispatch/WindowedRetryBudget.h"
 #include "fleet/Members.h"
 #include "gateway/Http.h"
 #include "proxy/Codec.h"
+#include "proxy/OverloadControl.h"
 #include "proxy/PromptIndex.h"
 #include "routing/RouteTable.h"
 #include "runners/Placement.h"
@@ -26,7 +26,6 @@
 
 /// @brief Figures that decide how requests are relayed.
 struct RouterOptions {
-    std::string host;
     std::string dataCentre;
     /// Oldest proof of contact with the source of the configuration with which credentials are honoured.
     Duration credentialLease = std::chrono::milliseconds(5000);
@@ -110,22 +109,11 @@
         std::optional<Refusal> refusal;
     };
 
-    /// A service's overload control, and its load as measured last.
-    struct ServiceControl {
-        admission::LoadShedder shedder;
-        admission::ServiceLoad load;
-        std::optional<TimePoint> measuredAt;
-        bool isOverloaded = false;
-    };
-
     Admission admit(const gateway::HttpRequest& request, const RequestFacts& facts, TimePoint now) const;
     std::optional<Refusal> refuseWhileStopping(const routing::Route& route, TimePoint now) const;
-    ServiceControl& controlOf(const std::string& service, TimePoint now);
-    void measureLoad(const std::string& service, ServiceControl& control, TimePoint now) const;
     /// Refuses a request that its service cannot serve in time.
-    std::optional<Refusal> refuseUnderOverload(const RequestFacts& facts, const routing::Route& route,
-        const Admission& admission, const std::string& service, TimePoint now);
-    void noteRecovery(TimePoint now);
+    std::optional<Refusal> refuseUnderOverload(
+        const RequestFacts& facts, const Admission& admission, const std::string& service, TimePoint now);
     /// Finds out whether a runner that broke a connection is dead, and whether the request may be the cause.
     void examine(const std::string& runner, dispatch::RequestDigest request);
     void refuse(gateway::Responder& responder, const RequestFacts& facts, const Refusal& refusal);
@@ -144,9 +132,9 @@
     std::mt19937_64 m_random;
     std::shared_ptr<const routing::RouteTable> m_routes;
     runners::Registry m_registry;
+    OverloadControl m_overload;
     std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_pools;
     std::map<std::string, dispatch::WindowedRetryBudget> m_budgets;
-    std::map<std::string, ServiceControl> m_controls;
     /// Connections opened to runners that are gone, by service.
     std::map<std::string, std::uint64_t> m_pastConnections;
     PromptIndex m_prompts;
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -1,5 +1,6 @@
 #include "proxy/Session.h"
 
+#include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
 
 namespace eelgrassford::proxy {
@@ -10,11 +11,6 @@
 
 namespace {
 
-    constexpr std::uint16_t statusOk = 200;
-    constexpr std::uint16_t statusServerError = 500;
-    constexpr std::uint16_t statusBadGateway = 502;
-    constexpr std::uint16_t statusUnavailable = 503;
-    constexpr std::uint16_t statusGatewayTimeout = 504;
     constexpr std::size_t responseBodyLimit = 16u << 20;
     /// Part of the time left that must remain for another attempt before the present one is left.
     constexpr Duration leastTimeForAttempt = std::chrono::milliseconds(100);
@@ -26,7 +22,8 @@
     /// Statuses that promise callers that the request has not run.
     bool isPromise(std::uint16_t status)
     {
-        return status == 408 || status == 421 || status == 429 || status == statusUnavailable;
+        return status == status::requestTimeout || status == status::misdirected || status == status::tooManyRequests
+            || status == status::unavailable;
     }
 
     dispatch::RelayPlan::Options planOptions(const Session::Start& start)
@@ -39,8 +36,6 @@
         return options;
     }
 
-    double milliseconds(Duration duration) { return toSeconds(duration) * 1000.0; }
-
 }
 
 Session::Session(Router& router, Start start, std::shared_ptr<gateway::Responder> responder)
@@ -215,7 +210,7 @@
         fail(AttemptFailure::Broken, Observation::Failed, "the response is not the runner's own");
         return;
     }
-    if (status >= statusServerError && m_plan.tryLeave(m_hasBegun, now, budget(now))) {
+    if (status >= status::serverError && m_plan.tryLeave(m_hasBegun, now, budget(now))) {
         endAttempt(Observation::Failed, now);
         follow(m_hasBegun ? RelayStep::SendRest : RelayStep::SendAgain, "the runner failed it");
         return;
@@ -242,7 +237,7 @@
     response.body = attempt.body;
     noteFirstByte(now);
     const auto status = attempt.head.status;
-    endAttempt(status >= statusServerError ? Observation::Failed : Observation::Served, now);
+    endAttempt(status >= status::serverError ? Observation::Failed : Observation::Served, now);
     m_responder->respond(response);
     finish(isSuccess(status) ? "answered" : "failed-by-runner", status, {});
 }
@@ -260,14 +255,14 @@
         m_router.m_prompts.recordServed(m_affinity.whole, m_attempt->runner);
     endAttempt(Observation::Served, now);
     m_responder->end();
-    finish("answered", statusOk, {});
+    finish("answered", status::ok, {});
 }
 
 void Session::noteFirstByte(TimePoint now)
 {
     m_firstByteAt = now;
     const bool isLate = now - m_start.arrivedAt > m_start.route->latencyObjective;
-    m_router.controlOf(m_start.service, now).shedder.recordFirstByte(isLate, now);
+    m_router.m_overload.recordFirstByte(m_start.service, isLate, now);
 }
 
 void Session::endAttempt(Observation observation, TimePoint now)
@@ -276,7 +271,7 @@
         return;
     const auto attempt = std::move(m_attempt);
     if (observation == Observation::Served)
-        m_router.controlOf(m_start.service, now).shedder.recordService(m_start.route->name, now - attempt->sentAt);
+        m_router.m_overload.recordService(m_start.service, m_start.route->name, now - attempt->sentAt, now);
     auto* runner = m_router.m_registry.find(attempt->runner);
     if (!runner)
         return;
@@ -285,7 +280,7 @@
     telemetry::logWarning("runner-suspended",
         { { "runner", attempt->runner }, { "request", m_start.facts.attemptId },
             { "losses", runner->consecutiveLosses }, { "failure_rate", runner->failureRate() },
-            { "for_ms", milliseconds(runner->suspendedUntil - now) } });
+            { "for_ms", toMilliseconds(runner->suspendedUntil - now) } });
 }
 
 void Session::fail(AttemptFailure failure, Observation observation, std::string_view detail)
@@ -300,7 +295,7 @@
     m_router.m_metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     telemetry::logInfo("attempt-failed",
         { { "request", m_start.facts.attemptId }, { "runner", runner }, { "failure", dispatch::nameOf(failure) },
-            { "detail", detail }, { "after_ms", milliseconds(elapsed) }, { "attempt", m_plan.attempts() },
+            { "detail", detail }, { "after_ms", toMilliseconds(elapsed) }, { "attempt", m_plan.attempts() },
             { "last_event", m_lastEvent }, { "next", dispatch::nameOf(step) } });
     follow(step, detail);
 }
@@ -319,7 +314,7 @@
         answerNotRun(detail);
         return;
     case RelayStep::FailUnknown:
-        answerUnknown(m_router.now() >= m_start.deadline ? statusGatewayTimeout : statusBadGateway, detail);
+        answerUnknown(m_router.now() >= m_start.deadline ? status::gatewayTimeout : status::badGateway, detail);
         return;
     case RelayStep::Abort:
         m_responder->abort();
@@ -377,7 +372,7 @@
         if (m_hasBegun)
             follow(RelayStep::Abort, "the time is over");
         else if (wasSent)
-            answerUnknown(statusGatewayTimeout, "the time is over");
+            answerUnknown(status::gatewayTimeout, "the time is over");
         else
             answerNotRun("the time is over");
         return;
@@ -414,7 +409,7 @@
     const bool isSuspended = m_router.m_registry.observe(*runner, Observation::Silent, now);
     telemetry::logInfo("runner-silent",
         { { "request", m_start.facts.attemptId }, { "runner", m_attempt->runner },
-            { "silence_ms", milliseconds(now - m_attempt->progressAt) }, { "failure_rate", runner->failureRate() },
+            { "silence_ms", toMilliseconds(now - m_attempt->progressAt) }, { "failure_rate", runner->failureRate() },
             { "suspended", isSuspended } });
 }
 
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -1,24 +1,22 @@
 #include "proxy/Session.h"
 
+#include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
 
 namespace eelgrassford::proxy {
 
 namespace {
 
-    constexpr std::uint16_t statusUnavailable = 503;
     /// Mean time after which a request that found no runner is asked to come back.
     constexpr Duration retryAfterNoRunner = std::chrono::milliseconds(300);
 
-    double milliseconds(Duration duration) { return toSeconds(duration) * 1000.0; }
-
 }
 
 void Session::answerNotRun(std::string_view detail)
 {
     m_router.refuse(
-        *m_responder, m_start.facts, { statusUnavailable, "no-runner", m_router.jitter(retryAfterNoRunner) });
-    finish("not-run", statusUnavailable, detail);
+        *m_responder, m_start.facts, { status::unavailable, "no-runner", m_router.jitter(retryAfterNoRunner) });
+    finish("not-run", status::unavailable, detail);
 }
 
 void Session::answerUnknown(std::uint16_t status, std::string_view detail)
@@ -39,7 +37,7 @@
     if (m_firstByteAt)
         m_router.m_metrics.observeFirstByte(toSeconds(*m_firstByteAt - m_start.arrivedAt));
     if (!m_firstByteAt && elapsed > m_start.route->latencyObjective)
-        m_router.controlOf(m_start.service, now).shedder.recordFirstByte(true, now);
+        m_router.m_overload.recordFirstByte(m_start.service, true, now);
     if (outcome == "answered")
         m_router.m_crashes.recordServed(m_start.digest);
     log(outcome, status, detail, now);
@@ -52,7 +50,7 @@
     const bool isPlain = outcome == "answered" && m_plan.attempts() == 1;
     if (isPlain && !m_router.m_plainLines.tryTake(now))
         return;
-    const double firstByte = m_firstByteAt ? milliseconds(*m_firstByteAt - m_start.arrivedAt) : -1.0;
+    const double firstByte = m_firstByteAt ? toMilliseconds(*m_firstByteAt - m_start.arrivedAt) : -1.0;
     telemetry::logInfo("request",
         { { "request", m_start.facts.attemptId }, { "route", m_start.route->name },
             { "revision", m_start.routes->revision() }, { "organisation", m_start.organisation },
@@ -61,7 +59,7 @@
             { "load", m_placement.load }, { "bound", m_placement.bound },
             { "usable", static_cast<std::uint64_t>(m_placement.usable) }, { "fetched", m_placement.source != nullptr },
             { "status", static_cast<int>(status) }, { "outcome", outcome }, { "first_byte_ms", firstByte },
-            { "ms", milliseconds(now - m_start.arrivedAt) }, { "detail", detail } });
+            { "ms", toMilliseconds(now - m_start.arrivedAt) }, { "detail", detail } });
 }
 
 }
--- a/src/upstream/CurlClient.cpp
+++ b/src/upstream/CurlClient.cpp
@@ -16,7 +16,7 @@
         ~GlobalState() { curl_global_cleanup(); }
     };
 
-    long toMilliseconds(Duration duration)
+    long curlTime(Duration duration)
     {
         return std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(duration).count());
     }
@@ -180,8 +180,8 @@
         curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(call.timeout));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(call.connectTimeout));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, curlTime(call.timeout));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, curlTime(call.connectTimeout));
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -1,5 +1,6 @@
 #include "proxy/Router.h"
 
+#include "common/Hash.h"
 #include "gateway/StreamServer.h"
 #include "platform/Headers.h"
 #include "support/Loopback.h"
@@ -180,6 +181,20 @@
     CHECK(fixture.arrivals() == 1);
 }
 
+TEST_CASE("a request that its service cannot serve in time is refused at once with a time to come back")
+{
+    Fixture fixture;
+    std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> peers;
+    for (const char* id : { "r-1", "r-2" })
+        peers[static_cast<fleet::RunnerKey>(hash64(id, 1))].underWay = 100;
+    fixture.router.setPeerWord(peers);
+    fixture.call("POST", "/look/1");
+    fixture.awaitAnswer("overloaded");
+    CHECK(fixture.caller->received.starts_with("HTTP/1.1 503"));
+    CHECK(fixture.caller->has("Retry-After"));
+    CHECK(fixture.arrivals() == 0);
+}
+
 TEST_CASE("a booking that a runner did not run goes to the other one")
 {
     Fixture fixture;
