Wait for the healing of runners in the relay test; bound the routes that overload control measures

A background job of the test that heals the runners 0.1 s into a stream was not waited for; under load it came after the next step had filled them, so that the booking ran. Ruled out: a wrong refusal of the daemon (the request was served with 200 and ran once). The test now waits for that job; its checks are unchanged.

Reading the change again: times at runners were kept for every route name ever served. They are bounded, with a test.

--- a/src/admission/LoadShedder.cpp
+++ b/src/admission/LoadShedder.cpp
@@ -96,6 +96,9 @@
 
 void LoadShedder::recordService(std::string_view route, Duration time)
 {
+    // Routes come and go with configurations; those in use are measured again at once.
+    if (m_serviceTimes.size() >= m_options.routeLimit)
+        m_serviceTimes.clear();
     approach(m_serviceTimes[std::string(route)], toSeconds(time));
     approach(m_meanServiceTime, toSeconds(time));
 }
--- a/src/admission/LoadShedder.h
+++ b/src/admission/LoadShedder.h
@@ -96,6 +96,8 @@
         double lateSamples = 8.0;
         /// Organisations that are kept; one takes about 200 bytes.
         std::size_t flowLimit = 8192;
+        /// Routes whose time at a runner is kept; the platform's largest configurations have some 400.
+        std::size_t routeLimit = 4096;
         /// Part of the time left after which a refused caller should have come back; the platform's callers wait no
         /// longer than a third.
         double returnShare = 0.33;
@@ -120,6 +122,7 @@
     /// @brief Whether the service has no more to do than usual.
     bool isCalm(const ServiceLoad& load) const { return load.underWay <= m_options.usualPressure * bound(load); }
     std::size_t flows() const { return m_flows.size(); }
+    std::size_t measuredRoutes() const { return m_serviceTimes.size(); }
 
 private:
     /// A sum in which older values count less, read as a rate.
--- a/tests/admission/SurgeReplayTest.cpp
+++ b/tests/admission/SurgeReplayTest.cpp
@@ -341,6 +341,16 @@
     CHECK(times.size() >= 8);
 }
 
+TEST_CASE("the number of routes that are measured is bounded")
+{
+    LoadShedder::Options options;
+    options.routeLimit = 10;
+    LoadShedder shedder(options, TimePoint {});
+    for (int i = 0; i < 100; ++i)
+        shedder.recordService("r-" + std::to_string(i), std::chrono::seconds(1));
+    CHECK(shedder.measuredRoutes() <= 10);
+}
+
 TEST_CASE("the number of flows that are kept is bounded")
 {
     const auto begin = TimePoint {} + std::chrono::hours(1);
--- a/tests/e2e/relay.test.sh
+++ b/tests/e2e/relay.test.sh
@@ -124,7 +124,9 @@
 check "with all events" equal "$(grep -c '^data: e' "$work/body")" 40
 for number in 1 2 3; do fault "$number" cut > /dev/null; done
 (sleep 0.1; for number in 1 2 3; do fault "$number" none > /dev/null; done) &
+healing=$!
 ask 3 /stream/1 s-2 -d x > /dev/null
+wait "$healing"
 check "no event twice or missing up to the last" equal "$(sed -n 's/^data: e//p' "$work/body" | awk '$1!=NR' | wc -l)" 0
 
 echo "== a booking whose runner breaks off runs once"
