Use one periodic timer, one decaying sum and one set of test checks

Read again: the tick loop stood three times (ControlThread, ControlLoop, TrafficLoop), the exponentially decaying sum of the own interface's admission was written again in LoadShedder, and check and equal stood in both end-to-end tests. PeriodicTimer, DecayingSum and tests/e2e/checks.sh serve all of them. No decision, bound or check changes.

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -1,7 +1,6 @@
 #include "admission/AdmissionController.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace eelgrassford::admission {
 
@@ -132,20 +131,18 @@
     if (isNew) {
         position->second.limits.name = name;
         position->second.refilledAt = now;
-        position->second.arrivalAt = now;
     }
     return position->second;
 }
 
 double AdmissionController::arrivalRate(const Organisation& entry, TimePoint now) const
 {
-    return entry.arrivalRate * std::exp(-toSeconds(now - entry.arrivalAt) / toSeconds(m_options.demandWindow));
+    return entry.arrivals.at(m_options.demandWindow, now) / toSeconds(m_options.demandWindow);
 }
 
 void AdmissionController::recordArrival(Organisation& entry, TimePoint now) const
 {
-    entry.arrivalRate = arrivalRate(entry, now) + 1.0 / toSeconds(m_options.demandWindow);
-    entry.arrivalAt = now;
+    entry.arrivals.add(1.0, m_options.demandWindow, now);
 }
 
 bool AdmissionController::takeRateToken(Organisation& entry, TimePoint now) const
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/Time.h"
+#include "common/DecayingSum.h"
 #include <cstdint>
 #include <map>
 #include <span>
@@ -105,9 +105,7 @@
         std::size_t running = 0;
         double tokens = 1.0;
         TimePoint refilledAt {};
-        /// Exponentially weighted rate of arrivals.
-        double arrivalRate = 0.0;
-        TimePoint arrivalAt {};
+        DecayingSum arrivals;
         /// Virtual finish time of start-time fair queueing.
         double virtualFinish = 0.0;
         std::vector<Submission> queue;
--- a/src/admission/LoadShedder.cpp
+++ b/src/admission/LoadShedder.cpp
@@ -36,19 +36,17 @@
 {
     if (!std::exchange(m_hasBegun, true))
         m_begunAt = now;
-    m_sum = m_sum * std::exp(-toSeconds(now - m_at) / toSeconds(window)) + value;
-    m_at = now;
+    m_sum.add(value, window, now);
 }
 
 double LoadShedder::DecayingRate::perSecond(Duration window, TimePoint now) const
 {
     if (!m_hasBegun)
         return 0.0;
-    // A rate that began lately is measured over its own age, but never over less than a tenth of the window.
+    // Never over less than a tenth of the window.
     const double seconds = toSeconds(window);
     const double age = std::max(toSeconds(now - m_begunAt), seconds / 10.0);
-    const double sum = m_sum * std::exp(-toSeconds(now - m_at) / seconds);
-    return sum / (seconds * (1.0 - std::exp(-age / seconds)));
+    return m_sum.at(window, now) / (seconds * (1.0 - std::exp(-age / seconds)));
 }
 
 LoadShedder::LoadShedder(const Options& options, TimePoint now)
--- a/src/admission/LoadShedder.h
+++ b/src/admission/LoadShedder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/Time.h"
+#include "common/DecayingSum.h"
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -125,15 +125,14 @@
     std::size_t measuredRoutes() const { return m_serviceTimes.size(); }
 
 private:
-    /// A sum in which older values count less, read as a rate.
+    /// A decaying sum, read as a rate over its own age where that is shorter than the window.
     class DecayingRate {
     public:
         void add(double value, Duration window, TimePoint now);
         double perSecond(Duration window, TimePoint now) const;
 
     private:
-        double m_sum = 0.0;
-        TimePoint m_at {};
+        DecayingSum m_sum;
         TimePoint m_begunAt {};
         bool m_hasBegun = false;
     };
--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -66,7 +66,7 @@
     : m_settings(settings)
     , m_metrics(metrics)
     , m_work(m_context.get_executor())
-    , m_timer(m_context)
+    , m_ticker(m_context, tickInterval, [this](TimePoint now) { tick(now); })
     , m_random(std::random_device {}())
     , m_incarnation(newIncarnation())
     , m_startedAt(currentTime())
@@ -112,7 +112,7 @@
 
 void ControlThread::run()
 {
-    scheduleTick();
+    m_ticker.start();
     m_context.run();
 }
 
@@ -146,17 +146,6 @@
     return m_snapshot;
 }
 
-void ControlThread::scheduleTick()
-{
-    m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](const asio::error_code& error) {
-        if (error)
-            return;
-        tick(currentTime());
-        scheduleTick();
-    });
-}
-
 void ControlThread::tick(TimePoint now)
 {
     m_view.tick(now);
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -3,6 +3,7 @@
 #include "admission/AdmissionController.h"
 #include "claims/ClaimsNode.h"
 #include "config/ConfigurationStore.h"
+#include "daemon/PeriodicTimer.h"
 #include "daemon/Routing.h"
 #include "daemon/Settings.h"
 #include "dispatch/QuarantineRegistry.h"
@@ -67,7 +68,6 @@
         std::vector<std::pair<Ticket, std::vector<std::string>>> waiting;
     };
 
-    void scheduleTick();
     void tick(TimePoint now);
     void onMessage(const peer::HostId& from, const peer::Message& message);
     void onHostList(const membership::HostList& list, bool isFromPlatform);
@@ -103,7 +103,7 @@
     telemetry::Metrics& m_metrics;
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    asio::steady_timer m_timer;
+    daemon::PeriodicTimer m_ticker;
     std::mt19937_64 m_random;
     std::uint64_t m_incarnation;
     TimePoint m_startedAt;
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -38,7 +38,7 @@
     , m_documents(documents)
     , m_traffic(traffic)
     , m_metrics(metrics)
-    , m_timer(m_context)
+    , m_ticker(m_context, tickInterval, [this](TimePoint now) { tick(now); })
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device {}())
     , m_client(m_context)
@@ -73,21 +73,10 @@
 {
     waitForSignal();
     tick(currentTime());
-    scheduleTick();
+    m_ticker.start();
     m_context.run();
 }
 
-void ControlLoop::scheduleTick()
-{
-    m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](const asio::error_code& error) {
-        if (error)
-            return;
-        tick(currentTime());
-        scheduleTick();
-    });
-}
-
 void ControlLoop::tick(TimePoint now)
 {
     if (now - m_lastTick > suspendedThreshold) {
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/PeriodicTimer.h"
 #include "edge/DocumentCodec.h"
 #include "edge/FleetLink.h"
 #include "edge/RelaySettings.h"
@@ -20,7 +21,6 @@
     void run();
 
 private:
-    void scheduleTick();
     void tick(TimePoint now);
     void query(const store::Query& query);
     void onResponse(const upstream::CallResult& result, std::uint16_t status, const std::string& body);
@@ -43,7 +43,7 @@
     TrafficLoop& m_traffic;
     telemetry::Metrics& m_metrics;
     asio::io_context m_context { 1 };
-    asio::steady_timer m_timer;
+    daemon::PeriodicTimer m_ticker;
     asio::signal_set m_signals;
     std::mt19937_64 m_random;
     upstream::CurlClient m_client;
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -49,7 +49,7 @@
 
 TrafficLoop::TrafficLoop(const RelaySettings& settings, const proxy::Codec& codec, telemetry::Metrics& metrics)
     : m_settings(settings)
-    , m_timer(m_context)
+    , m_ticker(m_context, tickInterval, [this](TimePoint now) { tick(now); })
     , m_router(m_context, routerOptions(settings), codec, metrics, currentTime)
     , m_server(m_context, settings.callers.ip, settings.callers.port, currentTime,
           [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
@@ -62,7 +62,7 @@
 void TrafficLoop::run()
 {
     m_startedAt = currentTime();
-    scheduleTick();
+    m_ticker.start();
     m_context.run();
 }
 
@@ -123,17 +123,6 @@
     });
 }
 
-void TrafficLoop::scheduleTick()
-{
-    m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](const asio::error_code& error) {
-        if (error)
-            return;
-        tick(currentTime());
-        scheduleTick();
-    });
-}
-
 void TrafficLoop::tick(TimePoint now)
 {
     if (now - m_lastTick > suspendedThreshold)
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/PeriodicTimer.h"
 #include "edge/RelaySettings.h"
 #include "gateway/StreamServer.h"
 #include "proxy/Router.h"
@@ -29,13 +30,12 @@
 
 private:
     void startServing();
-    void scheduleTick();
     void tick(TimePoint now);
     void tickStop(TimePoint now);
 
     RelaySettings m_settings;
     asio::io_context m_context { 1 };
-    asio::steady_timer m_timer;
+    daemon::PeriodicTimer m_ticker;
     proxy::Router m_router;
     gateway::StreamServer m_server;
     StateListener m_listener;
--- a/tests/e2e/fleet.test.sh
+++ b/tests/e2e/fleet.test.sh
@@ -7,19 +7,8 @@
 . scripts/fleet.sh
 trap 'stop_fleet; rm -rf "$work"' EXIT
 passed=0 failed=0
+. tests/e2e/checks.sh
 
-check() { # DESCRIPTION COMMAND...
-    local what=$1
-    shift
-    if "$@" > /dev/null 2>&1; then
-        passed=$((passed + 1))
-    else
-        failed=$((failed + 1))
-        echo "FAILED: $what"
-    fi
-}
-
-equal() { [ "$1" = "$2" ] || { echo "expected '$2', got '$1'"; return 1; }; }
 status_field() { curl -sf "$(admin_url "$1")/admin/status" | jq -r "$2"; }
 field_is() { [ "$(status_field "$1" "$2")" = "$3" ]; }
 
--- a/tests/e2e/relay.test.sh
+++ b/tests/e2e/relay.test.sh
@@ -7,19 +7,9 @@
 declare -A pids=()
 trap 'kill -9 "${pids[@]}" 2> /dev/null; rm -rf "$work"' EXIT
 passed=0 failed=0
+. tests/e2e/checks.sh
 store="http://127.$base.0.1:9000"
 
-check() { # DESCRIPTION COMMAND...
-    local what=$1
-    shift
-    if "$@" > /dev/null 2>&1; then
-        passed=$((passed + 1))
-    else
-        failed=$((failed + 1))
-        echo "FAILED: $what"
-    fi
-}
-equal() { [ "$1" = "$2" ] || { echo "expected '$2', got '$1'"; return 1; }; }
 wait_until() { # DESCRIPTION COMMAND...
     local what=$1
     shift
