Bound what runners and peers can make a daemon read

Operators of similar systems report that one malformed message takes a process down, that stalled streams which send a byte now and then never end, and that runners in trouble send bytes without end. Tried here with tests that failed:

- An array nested in arrays without end in a message of another daemon overflowed the stack of the decoder (SIGSEGV in the test), on the peers' port before authentication.
Nesting is now checked before the library's decoder runs.
- A late response without end, or informational responses without end, were skipped until the deadline.
An exchange now skips 512 KiB at most, closes the connection and charges the runner.
- An event without end grew the buffer until the deadline and was searched anew from its start with each read.
An event larger than 256 KiB ends the attempt.
- Bodies without end held 16 MiB for each request; all together may now hold 24 MiB, a seventh of the smallest host.
- Any byte counted as progress of a stream.
Only a whole event does now, so that a stalled resumable stream goes on elsewhere; and the time allowed is three times the pause that the route states, where that is longer than 1.2 s, so that a slow but sound stream is not left.

Ruled out, with tests that passed before: endless headers, reason phrases and empty lines (the parser's own limit); a late second copy of an answer on a reused connection (skipped by its id, the connection is not used again).

--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -1,5 +1,6 @@
 #include "peer/Codec.h"
 
+#include "common/Cbor.h"
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -303,7 +304,10 @@
         return fail(
             CodecErrorCode::TooLarge, "payload of " + std::to_string(payload.size()) + " bytes exceeds the limit");
     try {
-        const auto array = Json::from_cbor(payload.begin(), payload.end());
+        const auto decoded = decodeCbor(payload);
+        if (!decoded)
+            return fail(CodecErrorCode::Malformed, decoded.error().message());
+        const auto& array = *decoded;
         if (!array.is_array() || array.empty() || !array[0].is_number_unsigned())
             return fail(CodecErrorCode::Malformed, "payload is not an array that begins with the kind of message");
         const auto kind = array[0].get<std::size_t>();
--- a/src/peer/Handshake.cpp
+++ b/src/peer/Handshake.cpp
@@ -1,5 +1,6 @@
 #include "peer/Handshake.h"
 
+#include "common/Cbor.h"
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -80,7 +81,10 @@
 tl::expected<std::string, HandshakeError> Handshake::acceptChallenge(std::string_view frame)
 {
     try {
-        const auto json = Json::from_cbor(frame.begin(), frame.end());
+        const auto decoded = decodeCbor(frame);
+        if (!decoded)
+            return refuse(decoded.error().message());
+        const auto& json = *decoded;
         const auto version = json.at(0).get<std::uint32_t>();
         if (version != protocolVersion)
             return refuse("peer uses protocol version " + std::to_string(version) + ", expected "
@@ -102,7 +106,10 @@
     Identity identity;
     std::string mac;
     try {
-        const auto json = Json::from_cbor(frame.begin(), frame.end());
+        const auto decoded = decodeCbor(frame);
+        if (!decoded)
+            return refuse(decoded.error().message());
+        const auto& json = *decoded;
         keyName = json.at(0).get<std::string>();
         identity = { json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), json.at(3).get<std::string>(),
             json.at(4).get<std::string>() };
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -38,6 +38,12 @@
 
 }
 
+Duration streamIdleTimeout(const routing::Route& route, const RouterOptions& options)
+{
+    const auto allowed = fromSeconds(toSeconds(route.eventGapObjective) * options.streamIdleFactor);
+    return std::max(options.streamIdleTimeout, allowed);
+}
+
 Router::Router(asio::io_context& context, const RouterOptions& options, const Codec& codec, telemetry::Metrics& metrics,
     Clock clock)
     : m_context(context)
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -34,8 +34,13 @@
     runners::PlacementOptions placement;
     runners::RegistryOptions registry;
     upstream::ConnectionPoolOptions connections;
-    /// Time without data after which a resumable stream that has begun continues at another runner.
+    /// Shortest time without an event after which a resumable stream that has begun continues at another runner.
     Duration streamIdleTimeout = std::chrono::milliseconds(1200);
+    /// The same as a multiple of the longest pause that the stream's route allows, where that is longer.
+    double streamIdleFactor = 3.0;
+    /// Bytes of response bodies that all requests together may hold back until the bodies are complete. A response
+    /// that would exceed them is given up: runners in trouble may send bodies without end.
+    std::size_t responseBufferLimit = 24u << 20;
     /// Timeout of an attempt without a response, as a multiple of the route's latency objective. A repeatable request
     /// is then sent to another runner.
     double attemptTimeoutFactor = 2.0;
@@ -48,6 +53,9 @@
     std::uint32_t routineLinesPerSecond = 150;
 };
 
+/// @brief Time without an event after which a resumable stream of a route continues at another runner.
+Duration streamIdleTimeout(const routing::Route& route, const RouterOptions& options);
+
 /// @brief Admits, places and relays the requests of one traffic thread. Not safe to share between threads.
 class Router {
 public:
@@ -95,6 +103,8 @@
     bool hasRunners() const { return !m_registry.runners().empty(); }
     /// @brief Whether the configuration was confirmed recently enough for credentials to be accepted.
     bool isCredentialLeaseValid(TimePoint now) const;
+    /// @brief Bytes of incomplete response bodies that are held back now.
+    std::size_t bufferedResponseBytes() const { return m_bufferedResponseBytes; }
     /// @brief Relayed requests in flight.
     std::size_t requestsInFlight() const { return m_sessions.size(); }
 
@@ -165,6 +175,7 @@
     /// Newest time at which the configuration in force was proven to be current.
     std::optional<TimePoint> m_confirmedAt;
     TimePoint m_startedAt;
+    std::size_t m_bufferedResponseBytes = 0;
     std::set<Session*> m_sessions;
 };
 
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -87,7 +87,7 @@
     m_plan.beginAttempt();
     m_router.m_registry.recordDispatch(*runner, now);
     m_lastRunner = runner->entry.id;
-    m_attempt = std::make_unique<Attempt>();
+    m_attempt = std::make_unique<Attempt>(m_router.m_bufferedResponseBytes);
     m_attempt->runner = runner->entry.id;
     m_attempt->sentAt = now;
     m_attempt->lastProgressAt = now;
@@ -147,25 +147,39 @@
 void Session::onBytes(std::string_view bytes)
 {
     auto& attempt = *m_attempt;
-    attempt.lastProgressAt = m_router.now();
     if (auto* runner = m_router.m_registry.find(attempt.runner))
-        m_router.m_registry.recordReceived(*runner, attempt.lastProgressAt);
+        m_router.m_registry.recordReceived(*runner, m_router.now());
     if (attempt.isStreaming) {
         attempt.events.feed(bytes);
         relayEvents();
-    } else if (attempt.body.size() + bytes.size() <= responseBodyLimit) {
+        if (m_attempt && m_attempt->events.isTooLarge())
+            failMalformed("an event of the stream is too large");
+    } else if (hasRoomFor(bytes.size())) {
         attempt.body += bytes;
+        attempt.bufferedBytes += bytes.size();
     } else {
-        upstream::ConnectionPool::cancel(attempt.handle);
-        fail(AttemptFailure::Broken, Observation::Failed, "the response is too large");
+        failMalformed("the response is too large");
     }
 }
 
+void Session::failMalformed(std::string_view detail)
+{
+    upstream::ConnectionPool::cancel(m_attempt->handle);
+    fail(AttemptFailure::Broken, Observation::Failed, detail);
+}
+
+bool Session::hasRoomFor(std::size_t bytes) const
+{
+    return m_attempt->body.size() + bytes <= responseBodyLimit
+        && m_router.m_bufferedResponseBytes + bytes <= m_router.m_options.responseBufferLimit;
+}
+
 void Session::relayEvents()
 {
     auto& attempt = *m_attempt;
     std::string text;
     while (const auto event = attempt.events.next()) {
+        attempt.lastProgressAt = m_router.now();
         // A resumed stream may begin with events that the caller already has.
         if (event->offset && *event->offset <= m_lastEvent)
             continue;
@@ -336,7 +350,7 @@
     if (!m_attempt || m_attempt->isSilenceReported)
         return std::nullopt;
     if (m_hasResponseStarted)
-        return m_attempt->lastProgressAt + m_router.m_options.streamIdleTimeout;
+        return m_attempt->lastProgressAt + streamIdleTimeout(*m_admitted.route, m_router.m_options);
     const auto timeout = toSeconds(m_admitted.route->latencyObjective) * m_router.m_options.attemptTimeoutFactor;
     const auto total = toSeconds(m_admitted.deadline - m_admitted.arrivedAt);
     return m_attempt->sentAt + fromSeconds(std::min(timeout, total * m_router.m_options.attemptTimeoutShare));
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -41,6 +41,14 @@
 private:
     /// The request at one runner.
     struct Attempt {
+        explicit Attempt(std::size_t& bufferedResponseBytes)
+            : bufferedBytes(bufferedResponseBytes)
+        {
+        }
+        ~Attempt() { bufferedBytes -= body.size(); }
+        Attempt(const Attempt&) = delete;
+        Attempt& operator=(const Attempt&) = delete;
+
         std::string runner;
         upstream::ConnectionPool::Handle handle;
         http::MessageHead head;
@@ -50,11 +58,14 @@
         bool isStreaming = false;
         /// The silence of the runner was already reported to the registry.
         bool isSilenceReported = false;
-        /// Body received so far, if the response is not relayed as a stream.
+        /// Body received so far, if the response is not relayed as a stream; counted in bufferedBytes.
         std::string body;
+        /// Bytes that the bodies of all attempts hold.
+        std::size_t& bufferedBytes;
         upstream::EventStreamParser events;
         TimePoint sentAt {};
-        /// Time at which the request was sent or data last arrived.
+        /// Time at which the request was sent, its response began or an event last arrived whole. Other bytes are no
+        /// progress: a runner may send some now and then without ever completing an event.
         TimePoint lastProgressAt {};
     };
 
@@ -64,6 +75,9 @@
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
     void onBytes(std::string_view bytes);
+    /// Gives up the current attempt because of what its runner sent.
+    void failMalformed(std::string_view detail);
+    bool hasRoomFor(std::size_t bytes) const;
     void onEnded(const upstream::ExchangeResult& result);
     void relayEvents();
     void relayWhole();
--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -39,6 +39,8 @@
     Duration timeout = std::chrono::seconds(30);
     /// Target time to the response, or to the first event of a stream.
     Duration latencyObjective = std::chrono::seconds(1);
+    /// Longest pause between the events of a stream for which its response is still on time; 0 if none is stated.
+    Duration eventGapObjective {};
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     /// Largest number of upstreams that may run the same request.
--- a/src/store/DeltaCodec.cpp
+++ b/src/store/DeltaCodec.cpp
@@ -1,5 +1,6 @@
 #include "store/DeltaCodec.h"
 
+#include "common/Cbor.h"
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <zlib.h>
@@ -68,12 +69,17 @@
 
 tl::expected<Delta, ProtocolError> decodeDelta(std::string_view bytes)
 {
+    const auto envelope = decodeCbor(bytes);
+    if (!envelope)
+        return tl::unexpected(ProtocolError { envelope.error().message() });
     try {
-        const auto envelope = json::from_cbor(bytes);
-        const auto plain = decompress(toString(envelope.at(1)), envelope.at(0).get<std::size_t>());
+        const auto plain = decompress(toString(envelope->at(1)), envelope->at(0).get<std::size_t>());
         if (!plain)
             return tl::unexpected(ProtocolError { "the delta is too large or cannot be decompressed" });
-        const auto document = json::from_cbor(*plain);
+        const auto decoded = decodeCbor(*plain);
+        if (!decoded)
+            return tl::unexpected(ProtocolError { decoded.error().message() });
+        const auto& document = *decoded;
         Delta delta;
         delta.since = document.at(0).get<std::uint64_t>();
         delta.completeRevision = document.at(1).get<std::uint64_t>();
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -143,6 +143,7 @@
         m_events = std::move(events);
         ++m_exchangeNumber;
         m_writtenBytes = 0;
+        m_skippedBytes = 0;
         m_isBusy = true;
         m_isReusable = true;
         m_isAnswer = false;
@@ -228,6 +229,11 @@
                 finish(ExchangeEnd::Broken, used.error().message(), false);
                 return;
             }
+            m_skippedBytes += m_isAnswer ? 0 : *used;
+            if (m_skippedBytes > m_options.maxSkippedBytes) {
+                finish(ExchangeEnd::Broken, "too many bytes that are no answer", false);
+                return;
+            }
             bytes.remove_prefix(*used);
             if (std::exchange(m_isMessageComplete, false))
                 onMessageComplete(!bytes.empty());
@@ -295,6 +301,8 @@
     ExchangeEvents m_events;
     std::uint64_t m_exchangeNumber = 0;
     std::size_t m_writtenBytes = 0;
+    /// Bytes of the current exchange that do not belong to its response.
+    std::size_t m_skippedBytes = 0;
     Duration m_idleTimeout;
     TimePoint m_idleSince {};
     bool m_isConnected = false;
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -66,6 +66,9 @@
     /// Share of the peer's Keep-Alive timeout for which an idle connection is kept. Below 1, so that no request is sent
     /// while the peer closes the connection.
     double keepAliveShare = 0.7;
+    /// Most bytes before the awaited response, such as late responses to earlier requests, that an exchange skips. A
+    /// runner in trouble may send such bytes without end.
+    std::size_t maxSkippedBytes = 512u << 10;
 };
 
 /// @brief Pool of persistent HTTP/1.1 connections to one upstream, each with one request at a time (no pipelining).
--- a/src/upstream/EventStreamParser.cpp
+++ b/src/upstream/EventStreamParser.cpp
@@ -1,5 +1,6 @@
 #include "upstream/EventStreamParser.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace eelgrassford::upstream {
@@ -30,15 +31,19 @@
 void EventStreamParser::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_begin);
+    m_searched -= std::min(m_searched, m_begin);
     m_begin = 0;
     m_buffer += bytes;
 }
 
 std::optional<StreamEvent> EventStreamParser::next()
 {
-    const auto end = m_buffer.find(eventTerminator, m_begin);
-    if (end == std::string::npos)
+    const auto end = m_buffer.find(eventTerminator, std::max(m_begin, m_searched));
+    if (end == std::string::npos) {
+        // The last byte may begin a terminator.
+        m_searched = m_buffer.empty() ? 0 : m_buffer.size() - 1;
         return std::nullopt;
+    }
     StreamEvent event;
     event.text = std::string_view(m_buffer).substr(m_begin, end + eventTerminator.size() - m_begin);
     m_begin = end + eventTerminator.size();
--- a/src/upstream/EventStreamParser.h
+++ b/src/upstream/EventStreamParser.h
@@ -17,6 +17,9 @@
     bool isEnd = false;
 };
 
+/// Largest event in bytes. Events hold some tokens of text; bytes without the end of an event are no stream.
+constexpr std::size_t maxEventBytes = 256u << 10;
+
 /// @brief Splits a byte stream into server-sent events.
 class EventStreamParser {
 public:
@@ -26,10 +29,14 @@
     std::optional<StreamEvent> next();
     /// @brief Number of bytes that next() has not returned yet, such as those of an incomplete event.
     std::size_t bufferedBytes() const { return m_buffer.size() - m_begin; }
+    /// @brief Whether the event that is incomplete after next() returned nothing is larger than any event may be.
+    bool isTooLarge() const { return bufferedBytes() > maxEventBytes; }
 
 private:
     std::string m_buffer;
     std::size_t m_begin = 0;
+    /// Position before which the incomplete event has no end.
+    std::size_t m_searched = 0;
 };
 
 }
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -65,7 +65,7 @@
     platform::HeaderCodec codec;
     telemetry::Metrics metrics;
     TimePoint confirmedAt = daemon::currentTime();
-    proxy::Router router { context, options(), codec, metrics, daemon::currentTime };
+    proxy::Router router;
     std::uint16_t port = tests::freePort(context);
     gateway::StreamServer server { context, "127.0.0.1", port, daemon::currentTime,
         [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
@@ -75,7 +75,8 @@
     tests::Listener secondRunner { context };
     std::shared_ptr<Peer> caller;
 
-    Fixture()
+    explicit Fixture(const proxy::RouterOptions& routerOptions = options())
+        : router(context, routerOptions, codec, metrics, daemon::currentTime)
     {
         router.setRoutes(routeTable());
         router.setRunners(std::vector<runners::RunnerEntry> {
@@ -298,6 +299,84 @@
     CHECK(fixture.requestCount() == 1);
 }
 
+TEST_CASE("an event without end is given up after a bounded number of bytes, and the stream continues elsewhere")
+{
+    Fixture fixture;
+    fixture.call("POST", "/stream/1");
+    auto& broken = fixture.awaitRequest(1);
+    broken.send(streamHead("s-1") + chunk(event(1)));
+    fixture.awaitAnswer("e1\n\n");
+    broken.sendEndlessly({}, chunk(std::string(16384, 'x')));
+    auto& next = fixture.awaitRequest(2);
+    CHECK(next.has("Last-Event-Id: 1\r\n"));
+    next.send(streamHead("s-2") + chunk(event(2)) + "0\r\n\r\n");
+    fixture.awaitAnswer("0\r\n\r\n");
+    runUntil(fixture.context, [&] { return broken.isEnded; });
+    CHECK_FALSE(fixture.caller->has("xxxx"));
+}
+
+TEST_CASE("bodies without end of many responses together stay within the memory limit, and other requests go on")
+{
+    auto options = Fixture::options();
+    options.responseBufferLimit = 1u << 20;
+    Fixture fixture(options);
+    std::vector<std::shared_ptr<Peer>> callers;
+    for (int i = 0; i < 8; ++i)
+        callers.push_back(fixture.connect("POST", "/book/1", "id-" + std::to_string(i), {}));
+    runUntil(fixture.context, [&] { return fixture.requestCount() == callers.size(); });
+    for (auto* runner : { &fixture.firstRunner, &fixture.secondRunner }) {
+        for (const auto& peer : runner->peers)
+            peer->sendEndlessly("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n", std::string(16384, 'x'));
+    }
+    // The request may have run, so its caller is told neither that it failed nor that it may be repeated.
+    for (const auto& caller : callers) {
+        runUntil(fixture.context, [&] { return caller->has("\r\n\r\n"); });
+        CHECK(caller->received.starts_with("HTTP/1.1 502"));
+        CHECK(fixture.router.bufferedResponseBytes() <= options.responseBufferLimit);
+    }
+    for (auto* runner : { &fixture.firstRunner, &fixture.secondRunner }) {
+        for (const auto& peer : runner->peers)
+            runUntil(fixture.context, [&] { return peer->isEnded; });
+    }
+    CHECK(fixture.router.bufferedResponseBytes() == 0);
+}
+
+TEST_CASE("a resumable stream that stalls while bytes of an incomplete event arrive continues at another runner")
+{
+    auto options = Fixture::options();
+    options.streamIdleTimeout = std::chrono::milliseconds(200);
+    Fixture fixture(options);
+    fixture.call("POST", "/stream/1");
+    auto& stalled = fixture.awaitRequest(1);
+    stalled.send(streamHead("s-1") + chunk(event(1)));
+    fixture.awaitAnswer("e1\n\n");
+    asio::steady_timer timer(fixture.context);
+    std::function<void()> dribble = [&] {
+        stalled.send(chunk("x"));
+        timer.expires_after(std::chrono::milliseconds(20));
+        timer.async_wait([&](const asio::error_code& error) {
+            if (!error && !stalled.isEnded)
+                dribble();
+        });
+    };
+    dribble();
+    auto& next = fixture.awaitRequest(2);
+    CHECK(next.has("Last-Event-Id: 1\r\n"));
+    next.send(streamHead("s-2") + chunk(event(2)) + "0\r\n\r\n");
+    fixture.awaitAnswer("0\r\n\r\n");
+    runUntil(fixture.context, [&] { return stalled.isEnded; });
+}
+
+TEST_CASE("a resumable stream is not given up during the pauses that its route allows")
+{
+    using namespace std::chrono_literals;
+    proxy::RouterOptions options;
+    auto slow = route("/slow/", routing::RequestKind::Stream, true, 2);
+    CHECK(proxy::streamIdleTimeout(slow, options) == options.streamIdleTimeout);
+    slow.eventGapObjective = 800ms;
+    CHECK(proxy::streamIdleTimeout(slow, options) == 2400ms);
+}
+
 TEST_CASE("a resumable stream continues at another runner when a probe shows that its runner is unreachable")
 {
     Fixture fixture;
--- a/tests/support/Loopback.h
+++ b/tests/support/Loopback.h
@@ -40,6 +40,13 @@
     }
 
     void send(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+    /// Sends bytes and then a block again and again, until the other side closes the connection.
+    void sendEndlessly(const std::string& bytes, const std::string& block)
+    {
+        m_unsent = bytes;
+        m_endlessBlock = block;
+        writeUnsent();
+    }
     void finish() { m_socket.shutdown(asio::ip::tcp::socket::shutdown_send); }
     void close() { m_socket.close(); }
     void reset()
@@ -65,8 +72,23 @@
     bool isEnded = false;
 
 private:
+    void writeUnsent()
+    {
+        if (m_unsent.empty())
+            m_unsent = m_endlessBlock;
+        m_socket.async_write_some(
+            asio::buffer(m_unsent), [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+                if (error)
+                    return;
+                self->m_unsent.erase(0, size);
+                self->writeUnsent();
+            });
+    }
+
     asio::ip::tcp::socket m_socket;
     std::array<char, 4096> m_buffer {};
+    std::string m_unsent;
+    std::string m_endlessBlock;
 };
 
 /// Accepts connections and keeps them as peers for a test.
--- a/tests/upstream/ConnectionPoolTest.cpp
+++ b/tests/upstream/ConnectionPoolTest.cpp
@@ -209,3 +209,41 @@
     fixture.peer(0).send(response("2", "two"));
     CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
 }
+
+TEST_CASE("bytes without end that are no answer break the exchange after a bounded number of them")
+{
+    constexpr std::size_t blockBytes = 16384;
+    std::string head;
+    std::string block(blockBytes, 'x');
+    SUBCASE("in the body of a late response to an earlier request")
+    {
+        head = "HTTP/1.1 200 OK\r\nId: earlier\r\n\r\n";
+    }
+    SUBCASE("as informational responses")
+    {
+        block.clear();
+        while (block.size() < blockBytes)
+            block += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    SUBCASE("in the headers")
+    {
+        head = "HTTP/1.1 200 OK\r\nId: a\r\nX-Padding: ";
+    }
+    SUBCASE("in the reason phrase")
+    {
+        head = "HTTP/1.1 200 ";
+    }
+    SUBCASE("as empty lines before the status line")
+    {
+        block.assign(blockBytes, '\n');
+    }
+    Fixture fixture;
+    const auto outcome = fixture.start("a");
+    fixture.awaitRequests(0, 1);
+    auto& runner = fixture.peer(0);
+    runner.sendEndlessly(head, block);
+    CHECK(fixture.endOf(outcome) == ExchangeEnd::Broken);
+    CHECK_FALSE(outcome->result->isConnectionLost);
+    CHECK(fixture.pool.idleCount() == 0);
+    runUntil(fixture.context, [&] { return runner.isEnded; });
+}
