Sum the load of large fleets in two levels

Members::receive brings the next digest to each sender forward to 150 ms, so that the spacing by fleet size never applied: 1,470 digests a second from each host in a model.

From 96 daemons on, each now reports to one aggregator, and aggregators exchange the sums of their groups. The sum of the fleet comes back with the newest report that it contains, so that a daemon subtracts exactly its own part; a freshness proof comes with it, aged from the sending of that report. At most five daemons read the store. Members without an aggregator, such as new ones and earlier releases, still get digests; small fleets work as before.

A model in tests/fleet (seeded, no sockets) found, and the change mends: group sums that outlived their aggregator and were counted beside the new group (one request of 60 counted twice), a dead aggregator that was tried again each 5 s, and an aggregator by chance that the others did not know of.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -50,6 +50,7 @@
           settings.readinessPath)
     , m_metricsServer(createMetricsServer(settings))
     , m_fleet(m_context, settings, m_random(), m_mirror, m_client,
+          [this] { return std::uniform_real_distribution<double>()(m_random); },
           { [this] { publish(); },
               [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); } })
     , m_lastTick(currentTime())
@@ -89,7 +90,7 @@
     if (m_mirror.dropExpired(now))
         publish();
     m_fleet.tick(now);
-    m_traffic.setPeerSummaries(m_fleet.members().summarize(now));
+    m_traffic.setPeerSummaries(m_fleet.gossip().summarize(now));
     updateFreshness(now);
     if (const auto next = m_mirror.nextQuery(now))
         query(*next);
@@ -215,7 +216,7 @@
     m_metrics.setGauge("eelgrassford_configuration_revision", static_cast<double>(m_configurationRevision));
     m_metrics.setGauge("eelgrassford_ready", isReady() ? 1.0 : 0.0);
     m_metrics.setGauge("eelgrassford_proof_age_seconds", m_provenAt ? toSeconds(now - *m_provenAt) : -1.0);
-    m_metrics.setGauge("eelgrassford_members_heard", static_cast<double>(m_fleet.members().liveCount(now)));
+    m_metrics.setGauge("eelgrassford_members_heard", static_cast<double>(m_fleet.gossip().liveCount(now)));
     m_metrics.setGauge("eelgrassford_store_reader", m_fleet.isReader(now) ? 1.0 : 0.0);
     m_metrics.setTotal("eelgrassford_store_queries_total", static_cast<double>(m_mirror.queryCount()));
     m_metrics.setTotal("eelgrassford_peer_fetches_total", static_cast<double>(m_fleet.fetchCount()));
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -15,6 +15,10 @@
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
     /// Time behind another daemon after which this one queries the store itself.
     constexpr Duration maxTimeBehind = std::chrono::milliseconds(1000);
+    /// Age of the newest proof from which a daemon that reports to an aggregator asks the readers itself.
+    constexpr Duration maxPassedProofAge = std::chrono::milliseconds(1600);
+    /// Shortest time between two log lines on the number of members, which changes all the time in a large fleet.
+    constexpr Duration membersLogInterval = std::chrono::milliseconds(500);
     /// Share of the link's bandwidth for serving changes to other daemons.
     constexpr double changesLinkShare = 0.125;
     constexpr double bytesPerMegabit = 125000.0;
@@ -42,13 +46,12 @@
 }
 
 FleetLink::FleetLink(asio::io_context& context, const RelaySettings& settings, std::uint64_t incarnation,
-    store::Mirror& mirror, upstream::CurlClient& client, Events events)
+    store::Mirror& mirror, upstream::CurlClient& client, fleet::Gossip::RandomSource random, Events events)
     : m_settings(settings)
-    , m_incarnation(incarnation)
     , m_mirror(mirror)
     , m_client(client)
     , m_events(std::move(events))
-    , m_members(settings.ip, incarnation)
+    , m_gossip({ settings.ip, settings.region, incarnation }, {}, std::move(random))
     , m_readerElection(settings.ip, incarnation)
     , m_socket(context, settings.ip, settings.fleetPort,
           [this](const std::string& from, const fleet::Message& message) { receive(from, message); })
@@ -61,14 +64,16 @@
     addSeeds(settings, currentTime());
 }
 
-void FleetLink::addSeeds(const RelaySettings& settings, TimePoint now) { m_members.addSeeds(seedIps(settings), now); }
+void FleetLink::addSeeds(const RelaySettings& settings, TimePoint now) { m_gossip.addSeeds(seedIps(settings), now); }
 
 void FleetLink::tick(TimePoint now)
 {
     updateMembers(now);
-    sendDigests(now, false);
-    if (const auto outgoing = m_readerElection.nextRequest(now))
-        m_socket.send(outgoing->ip, fleet::encode(outgoing->request));
+    send(m_gossip.takeDue(localState(), now));
+    if (shouldAskReaders(now)) {
+        if (const auto outgoing = m_readerElection.nextRequest(now))
+            m_socket.send(outgoing->ip, fleet::encode(outgoing->request));
+    }
     const bool isReading = isReader(now);
     m_mirror.setReading(isReading);
     if (isReading == m_wasReader)
@@ -101,14 +106,28 @@
 
 void FleetLink::announce(TimePoint now)
 {
-    m_members.expediteDigests(now);
-    sendDigests(now, false);
+    m_gossip.expedite(now);
+    send(m_gossip.takeDue(localState(), now));
+}
+
+void FleetLink::leave(TimePoint now) { send(m_gossip.leave(localState(), now)); }
+
+bool FleetLink::shouldAskReaders(TimePoint now) const
+{
+    const auto proven = provenAt();
+    const auto& aggregation = m_gossip.aggregation();
+    return !aggregation.isActive() || aggregation.isOwnAggregator() || !proven || now - *proven > maxPassedProofAge;
+}
+
+fleet::LocalState FleetLink::localState() const
+{
+    return { m_states, m_crashes, m_mirror.changeRevision(), provenAt() };
 }
 
-void FleetLink::leave(TimePoint now)
+void FleetLink::send(const std::vector<fleet::Gossip::Outgoing>& outgoing)
 {
-    m_members.expediteDigests(now);
-    sendDigests(now, true);
+    for (const auto& message : outgoing)
+        m_socket.send(message.ip, message.bytes);
 }
 
 void FleetLink::onProcessResumed() { m_socket.dropPending(); }
@@ -118,10 +137,13 @@
     const auto now = currentTime();
     if (const auto* digest = std::get_if<fleet::Digest>(&message)) {
         if (digest->ip == from)
-            onDigest(*digest, now);
+            onNews(m_gossip.receive(*digest, now), now);
+    } else if (const auto* summary = std::get_if<fleet::Summary>(&message)) {
+        if (summary->ip == from)
+            onNews(m_gossip.receive(*summary, now), now);
     } else if (const auto* request = std::get_if<fleet::FreshnessRequest>(&message)) {
         fleet::FreshnessReply reply { request->nonce, -1, m_mirror.changeRevision() };
-        // The reply carries only this daemon's own proof: proofs passed on from peers could circulate forever.
+        // The reply carries only this daemon's own proof, which is newer than those of other daemons.
         if (const auto proven = m_mirror.provenAt())
             reply.proofAgeMs = std::chrono::ceil<std::chrono::milliseconds>(now - *proven).count();
         m_socket.send(from, fleet::encode(reply));
@@ -130,13 +152,14 @@
     }
 }
 
-void FleetLink::onDigest(const fleet::Digest& digest, TimePoint now)
+void FleetLink::onNews(const std::optional<fleet::Gossip::News>& news, TimePoint now)
 {
-    if (digest.region != m_settings.region || !m_members.receive(digest, now))
+    if (!news)
         return;
-    checkForMissedChanges(digest.ip, digest.changeRevision, now);
-    if (!digest.crashes.empty())
-        m_events.crashRecordsReceived(digest.crashes);
+    checkForMissedChanges(news->ip, news->changeRevision, now);
+    adoptProof(news->changeRevision, news->provenAt);
+    if (!news->crashes.empty())
+        m_events.crashRecordsReceived(news->crashes);
 }
 
 void FleetLink::onReply(const fleet::FreshnessReply& reply, TimePoint now)
@@ -145,11 +168,16 @@
     if (!status)
         return;
     checkForMissedChanges(status->ip, status->changeRevision, now);
-    // A proof is valid only for a mirror that holds every change the reader had.
-    const bool isUpToDate = m_mirror.completeRevision() >= status->changeRevision;
-    if (!isUpToDate || !status->provenAt || (m_peerProvenAt && *status->provenAt <= *m_peerProvenAt))
+    adoptProof(status->changeRevision, status->provenAt);
+}
+
+void FleetLink::adoptProof(std::uint64_t changeRevision, std::optional<TimePoint> provenAt)
+{
+    // A proof is valid only for a mirror that holds every change that the sender had.
+    const bool isUpToDate = m_mirror.completeRevision() >= changeRevision;
+    if (!isUpToDate || !provenAt || (m_peerProvenAt && *provenAt <= *m_peerProvenAt))
         return;
-    m_peerProvenAt = status->provenAt;
+    m_peerProvenAt = provenAt;
     m_mirror.confirmCurrent(*m_peerProvenAt);
 }
 
@@ -193,8 +221,8 @@
         m_behindSince.reset();
         if (!m_mirror.merge(*delta, currentTime()))
             return;
-        // Digests with the new revision let other daemons that are behind fetch from here.
-        m_members.expediteDigests(currentTime());
+        // Messages with the new revision let other daemons that are behind fetch from here.
+        m_gossip.expedite(currentTime());
         m_events.mirrorChanged();
     });
 }
@@ -217,37 +245,18 @@
     return { 200, { { "Content-Type", "application/cbor" } }, std::move(delta) };
 }
 
-void FleetLink::sendDigests(TimePoint now, bool isLeaving)
-{
-    const auto due = m_members.takeDue(now);
-    if (due.empty())
-        return;
-    fleet::Digest digest;
-    digest.incarnation = m_incarnation;
-    digest.sequence = ++m_sequence;
-    digest.ip = m_settings.ip;
-    digest.region = m_settings.region;
-    digest.changeRevision = m_mirror.changeRevision();
-    digest.members = m_members.sampleMembers();
-    digest.runners = m_states;
-    digest.crashes = m_crashes;
-    digest.isLeaving = isLeaving;
-    const auto bytes = fleet::encode(digest);
-    for (const auto& ip : due)
-        m_socket.send(ip, bytes);
-}
-
 void FleetLink::updateMembers(TimePoint now)
 {
-    const auto liveIps = m_members.liveIps(now);
-    m_readerElection.update(liveIps);
-    if (liveIps.size() == m_liveCount)
+    m_readerElection.update(m_gossip.liveIps(now));
+    const auto liveCount = m_gossip.liveCount(now);
+    if (liveCount == m_liveCount || now < m_nextMembersLogAt)
         return;
+    m_nextMembersLogAt = now + membersLogInterval;
     telemetry::logInfo("members-changed",
-        { { "before", static_cast<std::uint64_t>(m_liveCount) },
-            { "heard", static_cast<std::uint64_t>(liveIps.size()) },
-            { "known", static_cast<std::uint64_t>(m_members.knownCount()) } });
-    m_liveCount = liveIps.size();
+        { { "before", static_cast<std::uint64_t>(m_liveCount) }, { "heard", static_cast<std::uint64_t>(liveCount) },
+            { "known", static_cast<std::uint64_t>(m_gossip.knownCount()) },
+            { "aggregator", m_gossip.aggregation().aggregator() } });
+    m_liveCount = liveCount;
 }
 
 }
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -3,7 +3,7 @@
 #include "edge/FleetSocket.h"
 #include "edge/RelaySettings.h"
 #include "fleet/ByteBudget.h"
-#include "fleet/Members.h"
+#include "fleet/Gossip.h"
 #include "fleet/ReaderElection.h"
 #include "gateway/HttpServer.h"
 #include "store/Mirror.h"
@@ -21,16 +21,17 @@
         std::function<void(std::vector<dispatch::CrashRecord>)> crashRecordsReceived;
     };
 
+    /// @param random returns uniform numbers in [0, 1)
     FleetLink(asio::io_context& context, const RelaySettings& settings, std::uint64_t incarnation,
-        store::Mirror& mirror, upstream::CurlClient& client, Events events);
+        store::Mirror& mirror, upstream::CurlClient& client, fleet::Gossip::RandomSource random, Events events);
 
     /// @brief Sends what is due and updates whether this daemon reads the store.
     void tick(TimePoint now);
     /// @brief Sets the runner states and crash records that the digests of this daemon carry.
     void setStates(std::vector<fleet::RunnerState> states, std::vector<dispatch::CrashRecord> crashes);
-    /// @brief Sends a digest to every live member at once; called after the store returned changes.
+    /// @brief Tells the other daemons of changes at once; called after the store returned them.
     void announce(TimePoint now);
-    /// @brief Sends every live member a digest saying that this daemon is leaving.
+    /// @brief Tells the other daemons that this one is leaving.
     void leave(TimePoint now);
     /// @brief Discards the datagrams that arrived while the process was suspended.
     void onProcessResumed();
@@ -39,7 +40,7 @@
 
     /// @brief Time of the newest freshness proof, from the store or from another daemon.
     std::optional<TimePoint> provenAt() const;
-    fleet::Members& members() { return m_members; }
+    const fleet::Gossip& gossip() const { return m_gossip; }
     const FleetSocket& socket() const { return m_socket; }
     /// @brief Fetches of published changes from other daemons.
     std::uint64_t fetchCount() const { return m_fetchCount; }
@@ -48,31 +49,34 @@
 
 private:
     void receive(const std::string& from, const fleet::Message& message);
-    void onDigest(const fleet::Digest& digest, TimePoint now);
+    void onNews(const std::optional<fleet::Gossip::News>& news, TimePoint now);
     void onReply(const fleet::FreshnessReply& reply, TimePoint now);
-    void sendDigests(TimePoint now, bool isLeaving);
+    void adoptProof(std::uint64_t changeRevision, std::optional<TimePoint> provenAt);
+    /// Whether this daemon asks the readers for proofs, rather than to take those in its aggregator's summaries.
+    bool shouldAskReaders(TimePoint now) const;
+    fleet::LocalState localState() const;
+    void send(const std::vector<fleet::Gossip::Outgoing>& outgoing);
     void updateMembers(TimePoint now);
     void checkForMissedChanges(const std::string& ip, std::uint64_t changeRevision, TimePoint now);
     void fetch(const std::string& ip);
     gateway::HttpResponse serve(const gateway::HttpRequest& request);
 
     RelaySettings m_settings;
-    std::uint64_t m_incarnation;
     store::Mirror& m_mirror;
     upstream::CurlClient& m_client;
     Events m_events;
-    fleet::Members m_members;
+    fleet::Gossip m_gossip;
     fleet::ReaderElection m_readerElection;
     FleetSocket m_socket;
     gateway::HttpServer m_server;
     fleet::ByteBudget m_changesBudget;
-    std::uint64_t m_sequence = 0;
     std::uint64_t m_fetchCount = 0;
     std::vector<fleet::RunnerState> m_states;
     std::vector<dispatch::CrashRecord> m_crashes;
     std::optional<TimePoint> m_peerProvenAt;
     std::optional<TimePoint> m_behindSince;
     std::size_t m_liveCount = 0;
+    TimePoint m_nextMembersLogAt {};
     bool m_isFetchingChanges = false;
     bool m_wasReader = true;
 };
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -1,5 +1,6 @@
 #include "fleet/Digest.h"
 
+#include "common/Cbor.h"
 #include <nlohmann/json.hpp>
 
 namespace eelgrassford::fleet {
@@ -8,17 +9,33 @@
 
 namespace {
 
+    /// Values for each runner in the flat array of a summary.
+    constexpr std::size_t totalFields = 5;
+
+    json toJson(std::span<const dispatch::CrashRecord> records)
+    {
+        auto crashes = json::array();
+        for (const auto& record : records)
+            crashes.push_back({ record.request, record.runners });
+        return crashes;
+    }
+
+    std::vector<dispatch::CrashRecord> toCrashRecords(const json& array)
+    {
+        std::vector<dispatch::CrashRecord> result;
+        for (const auto& record : array)
+            result.push_back({ record.at(0).get<std::uint64_t>(), record.at(1).get<std::vector<std::uint64_t>>() });
+        return result;
+    }
+
     json toJson(const Digest& digest)
     {
         auto runners = json::array();
         for (const auto& state : digest.runners)
             runners.push_back(
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
-        auto crashes = json::array();
-        for (const auto& record : digest.crashes)
-            crashes.push_back({ record.request, record.runners });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
-            runners, crashes, digest.isLeaving };
+            runners, toJson(digest.crashes), digest.isLeaving, digest.aggregator };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -37,13 +54,41 @@
         for (const auto& state : fields.at(6))
             digest.runners.push_back({ state.at(0).get<RunnerKey>(), state.at(1).get<std::uint32_t>(),
                 state.at(2).get<std::uint32_t>(), state.at(3).get<std::uint32_t>(), state.at(4).get<std::uint32_t>() });
-        for (const auto& record : fields.at(7))
-            digest.crashes.push_back(
-                { record.at(0).get<std::uint64_t>(), record.at(1).get<std::vector<std::uint64_t>>() });
+        digest.crashes = toCrashRecords(fields.at(7));
         digest.isLeaving = fields.at(8).get<bool>();
+        // Daemons of earlier releases do not send it.
+        if (fields.size() > 9)
+            digest.aggregator = fields.at(9).get<std::string>();
         return digest;
     }
 
+    Summary toSummary(const json& envelope)
+    {
+        const auto& body = envelope.at(1).get_binary();
+        const auto decoded = decodeCbor({ reinterpret_cast<const char*>(body.data()), body.size() });
+        const auto fields = decoded.value_or(json::array());
+        Summary summary;
+        summary.acknowledged = envelope.at(0).get<std::uint64_t>();
+        summary.scope = fields.at(0).get<bool>() ? Summary::Scope::Fleet : Summary::Scope::Group;
+        summary.incarnation = fields.at(1).get<std::uint64_t>();
+        summary.sequence = fields.at(2).get<std::uint64_t>();
+        summary.ip = fields.at(3).get<std::string>();
+        summary.region = fields.at(4).get<std::string>();
+        summary.proofAgeMs = fields.at(5).get<std::int64_t>();
+        summary.changeRevision = fields.at(6).get<std::uint64_t>();
+        summary.daemons = fields.at(7).get<std::uint32_t>();
+        summary.members = fields.at(8).get<std::vector<std::string>>();
+        const auto values = fields.at(9).get<std::vector<std::uint32_t>>();
+        for (std::size_t i = 0; i + totalFields <= values.size(); i += totalFields)
+            summary.runners.push_back({ values[i], values[i + 1], values[i + 2], values[i + 3], values[i + 4] });
+        summary.crashes = toCrashRecords(fields.at(10));
+        summary.isLeaving = fields.at(11).get<bool>();
+        return summary;
+    }
+
+    /// Summaries are encoded by encodeSummary().
+    json toJson(const Summary&) { return json::array(); }
+
     FreshnessReply toReply(const json& fields)
     {
         return { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::int64_t>(),
@@ -52,8 +97,34 @@
 
 }
 
+std::string encodeBody(const Summary& summary)
+{
+    std::vector<std::uint32_t> values;
+    values.reserve(summary.runners.size() * totalFields);
+    for (const auto& total : summary.runners)
+        values.insert(
+            values.end(), { total.runner, total.inFlight, total.servedTenths, total.failedTenths, total.suspendedBy });
+    std::string bytes;
+    json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
+                      summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
+                      values, toJson(summary.crashes), summary.isLeaving },
+        bytes);
+    return bytes;
+}
+
+std::string encodeSummary(std::uint64_t acknowledged, std::string_view body)
+{
+    constexpr std::size_t summaryKind = 3;
+    static_assert(std::is_same_v<std::variant_alternative_t<summaryKind, Message>, Summary>);
+    std::string bytes;
+    json::to_cbor(json { summaryKind, { acknowledged, json::binary({ body.begin(), body.end() }) } }, bytes);
+    return bytes;
+}
+
 std::string encode(const Message& message)
 {
+    if (const auto* summary = std::get_if<Summary>(&message))
+        return encodeSummary(summary->acknowledged, encodeBody(*summary));
     const auto fields = std::visit([](const auto& content) { return toJson(content); }, message);
     std::string bytes;
     json::to_cbor(json { message.index(), fields }, bytes);
@@ -62,16 +133,20 @@
 
 tl::expected<Message, DigestError> decode(std::string_view bytes)
 {
+    const auto document = decodeCbor(bytes);
+    if (!document)
+        return tl::unexpected(DigestError { document.error().message() });
     try {
-        const auto document = json::from_cbor(bytes);
-        const auto& fields = document.at(1);
-        switch (document.at(0).get<std::size_t>()) {
+        const auto& fields = document->at(1);
+        switch (document->at(0).get<std::size_t>()) {
         case 0:
             return toDigest(fields);
         case 1:
             return FreshnessRequest { fields.at(0).get<std::uint64_t>() };
         case 2:
             return toReply(fields);
+        case 3:
+            return toSummary(fields);
         default:
             return tl::unexpected(DigestError { "unknown kind of message" });
         }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -45,6 +45,50 @@
     std::vector<dispatch::CrashRecord> crashes;
     /// The sender stops now; its requests are finished.
     bool isLeaving = false;
+    /// IP address of the only daemon that counts the sender's states; empty if every receiver counts them.
+    std::string aggregator;
+};
+
+/// @brief State of one runner, summed over several daemons.
+struct RunnerTotal {
+    RunnerKey runner = 0;
+    /// Sums of the fields of RunnerState.
+    std::uint32_t inFlight = 0;
+    std::uint32_t servedTenths = 0;
+    std::uint32_t failedTenths = 0;
+    /// Daemons that suspend the runner now.
+    std::uint32_t suspendedBy = 0;
+    bool operator==(const RunnerTotal&) const = default;
+};
+
+/// @brief Sum of the states of several daemons, which an aggregator sends several times a second.
+struct Summary {
+    enum class Scope {
+        /// The daemons that report to the sender; for other aggregators.
+        Group,
+        /// All daemons; for those that report to the sender.
+        Fleet,
+    };
+    Scope scope = Scope::Group;
+    std::uint64_t incarnation = 0;
+    /// Rises with each summary of an incarnation.
+    std::uint64_t sequence = 0;
+    std::string ip;
+    std::string region;
+    /// Sequence of the receiver's newest digest that the sum contains; 0 if it contains none.
+    std::uint64_t acknowledged = 0;
+    /// Age of the sender's newest freshness proof, as in FreshnessReply.
+    std::int64_t proofAgeMs = -1;
+    /// Revision of the newest change of the store that the sender's mirror holds.
+    std::uint64_t changeRevision = 0;
+    /// Number of daemons in the sum.
+    std::uint32_t daemons = 0;
+    /// IP addresses of some daemons that are alive.
+    std::vector<std::string> members;
+    std::vector<RunnerTotal> runners;
+    std::vector<dispatch::CrashRecord> crashes;
+    /// The sender stops now; its daemons choose another aggregator.
+    bool isLeaving = false;
 };
 
 /// @brief Asks a daemon that reads the store how fresh its mirror is.
@@ -66,7 +110,7 @@
     bool operator==(const FreshnessReply&) const = default;
 };
 
-using Message = std::variant<Digest, FreshnessRequest, FreshnessReply>;
+using Message = std::variant<Digest, FreshnessRequest, FreshnessReply, Summary>;
 
 /// @brief A datagram that cannot be decoded.
 struct DigestError {
@@ -78,6 +122,14 @@
 /// the end.
 std::string encode(const Message& message);
 
+/// @brief Encodes the part of a summary that is the same for all its receivers.
+std::string encodeBody(const Summary& summary);
+
+/// @brief Encodes a summary for one receiver.
+/// @param acknowledged see Summary::acknowledged
+/// @param body result of encodeBody()
+std::string encodeSummary(std::uint64_t acknowledged, std::string_view body);
+
 /// @brief Decodes a message; never throws.
 tl::expected<Message, DigestError> decode(std::string_view bytes);
 
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -51,12 +51,15 @@
     return true;
 }
 
+void Members::forgetSilent(TimePoint now)
+{
+    std::erase_if(
+        m_members, [&](const auto& entry) { return now - entry.second.lastSignOfLife() > m_options.forgetTimeout; });
+}
+
 std::vector<std::string> Members::takeDue(TimePoint now)
 {
-    std::erase_if(m_members, [&](const auto& entry) {
-        const auto& member = entry.second;
-        return now - std::max(member.heardAt, member.knownSince) > m_options.forgetTimeout;
-    });
+    forgetSilent(now);
     const auto interval = std::max(
         m_options.digestInterval, m_options.digestIntervalPerMember * static_cast<std::int64_t>(m_members.size()));
     std::vector<std::string> result;
@@ -70,6 +73,31 @@
     return result;
 }
 
+std::vector<std::string> Members::takeDueDirect(TimePoint now)
+{
+    forgetSilent(now);
+    std::vector<std::string> result;
+    for (auto& [ip, member] : m_members) {
+        if (now < member.nextDigestAt || !isLive(member, now) || !member.digest->aggregator.empty())
+            continue;
+        member.nextDigestAt = now + m_options.digestInterval;
+        result.push_back(ip);
+        if (result.size() >= m_options.directDigestsPerTurn)
+            break;
+    }
+    return result;
+}
+
+void Members::mention(std::span<const std::string> ips, Evidence evidence, TimePoint now)
+{
+    for (const auto& ip : ips) {
+        add(ip, now);
+        const auto found = m_members.find(ip);
+        if (found != m_members.end())
+            (evidence == Evidence::Reported ? found->second.reportedAt : found->second.repeatedAt) = now;
+    }
+}
+
 std::vector<std::string> Members::sampleMembers()
 {
     // Names only members that have sent a digest, so that a stale address is not passed on.
@@ -78,12 +106,40 @@
         if (member.digest)
             candidates.push_back(ip);
     }
-    if (candidates.size() <= m_options.membersPerDigest)
+    return takeSample(std::move(candidates), m_options.membersPerDigest, m_lastSampled);
+}
+
+std::vector<std::string> Members::sampleHeard(std::size_t count, TimePoint now)
+{
+    std::vector<std::string> candidates;
+    for (const auto& [ip, member] : m_members) {
+        if (now - member.heardAt <= m_options.reportTimeout)
+            candidates.push_back(ip);
+    }
+    return takeSample(std::move(candidates), count, m_lastHeardSampled);
+}
+
+std::vector<std::string> Members::samplePresent(std::size_t count, TimePoint now)
+{
+    // Members that were only repeated are left out: daemons could repeat a dead one to each other forever.
+    std::vector<std::string> candidates;
+    for (const auto& [ip, member] : m_members) {
+        const bool isHeard = now - member.heardAt <= m_options.reportTimeout;
+        if (isHeard || now - member.reportedAt <= m_options.presenceTimeout)
+            candidates.push_back(ip);
+    }
+    return takeSample(std::move(candidates), count, m_lastPresentSampled);
+}
+
+std::vector<std::string> Members::takeSample(
+    std::vector<std::string> candidates, std::size_t count, std::string& lastSampled)
+{
+    if (candidates.size() <= count)
         return candidates;
-    const auto first = std::upper_bound(candidates.begin(), candidates.end(), m_lastSampled);
+    const auto first = std::upper_bound(candidates.begin(), candidates.end(), lastSampled);
     std::rotate(candidates.begin(), first, candidates.end());
-    candidates.resize(m_options.membersPerDigest);
-    m_lastSampled = candidates.back();
+    candidates.resize(count);
+    lastSampled = candidates.back();
     return candidates;
 }
 
@@ -100,20 +156,61 @@
     return member.digest && !member.digest->isLeaving && now - member.heardAt <= m_options.digestLifetime;
 }
 
+void Members::addStates(const Member& member, TimePoint now, std::unordered_map<RunnerKey, RunnerSummary>& totals)
+{
+    for (const auto& state : member.digest->runners) {
+        auto& summary = totals[state.runner];
+        summary.inFlight += state.inFlight;
+        summary.served += state.servedTenths / tenthsPerRequest;
+        summary.failed += state.failedTenths / tenthsPerRequest;
+        const auto suspendedUntil = member.heardAt + std::chrono::milliseconds(state.suspendedMs);
+        summary.suspendedBy += now < suspendedUntil ? 1 : 0;
+    }
+}
+
 std::unordered_map<RunnerKey, RunnerSummary> Members::summarize(TimePoint now) const
 {
     std::unordered_map<RunnerKey, RunnerSummary> result;
     for (const auto& [ip, member] : m_members) {
-        if (!isLive(member, now))
-            continue;
-        for (const auto& state : member.digest->runners) {
-            auto& summary = result[state.runner];
-            summary.inFlight += state.inFlight;
-            summary.served += state.servedTenths / tenthsPerRequest;
-            summary.failed += state.failedTenths / tenthsPerRequest;
-            const auto suspendedUntil = member.heardAt + std::chrono::milliseconds(state.suspendedMs);
-            summary.suspendedBy += now < suspendedUntil ? 1 : 0;
-        }
+        if (isLive(member, now))
+            addStates(member, now, result);
+    }
+    return result;
+}
+
+void Members::addTotals(
+    std::string_view aggregator, TimePoint now, std::unordered_map<RunnerKey, RunnerSummary>& totals) const
+{
+    for (const auto& [ip, member] : m_members) {
+        if (isLive(member, now) && member.digest->aggregator == aggregator)
+            addStates(member, now, totals);
+    }
+}
+
+std::vector<Members::Reporter> Members::reportersTo(std::string_view aggregator, TimePoint now) const
+{
+    std::vector<Reporter> result;
+    for (const auto& [ip, member] : m_members) {
+        if (isLive(member, now) && member.digest->aggregator == aggregator)
+            result.push_back({ ip, member.digest->sequence });
+    }
+    return result;
+}
+
+std::vector<std::string> Members::knownIps() const
+{
+    std::vector<std::string> result;
+    for (const auto& [ip, member] : m_members)
+        result.push_back(ip);
+    return result;
+}
+
+std::vector<std::string> Members::presentIps(TimePoint now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [ip, member] : m_members) {
+        if (now - member.lastSignOfLife() <= m_options.presenceTimeout)
+            result.push_back(ip);
     }
     return result;
 }
--- a/src/fleet/Members.h
+++ b/src/fleet/Members.h
@@ -2,6 +2,7 @@
 
 #include "common/Time.h"
 #include "fleet/Digest.h"
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -28,6 +29,20 @@
     Duration forgetTimeout = std::chrono::seconds(60);
     /// Most addresses of members that one digest names.
     std::size_t membersPerDigest = 8;
+    /// Time since the last sign of life for which a member counts as present.
+    Duration presenceTimeout = std::chrono::seconds(15);
+    /// Age of the newest digest up to which this daemon reports a member to others.
+    Duration reportTimeout = std::chrono::seconds(3);
+    /// Most digests, in a fleet with aggregation, that are sent at a time to members without it.
+    std::size_t directDigestsPerTurn = 16;
+};
+
+/// @brief How a daemon learnt that a member is alive.
+enum class Evidence {
+    /// Named by a daemon that has digests of it.
+    Reported,
+    /// Named by a daemon that may know it from others.
+    Repeated,
 };
 
 /// @brief State of one runner, summed over the other daemons.
@@ -59,13 +74,37 @@
     /// @brief Addresses to which a digest is due now; also schedules the next digest to each, and removes members whose
     /// forget timeout has passed.
     std::vector<std::string> takeDue(TimePoint now);
+    /// @brief Addresses of the members without an aggregator to which a digest is due now, for a daemon that reports to
+    /// an aggregator; also removes members whose forget timeout has passed.
+    std::vector<std::string> takeDueDirect(TimePoint now);
+    /// @brief Stores that other daemons know of members.
+    void mention(std::span<const std::string> ips, Evidence evidence, TimePoint now);
     /// @brief Addresses of members to name in the next digest; in a large fleet, successive calls go round all members.
     std::vector<std::string> sampleMembers();
+    /// @brief Like sampleMembers(), of the members that this daemon heard within the report timeout.
+    std::vector<std::string> sampleHeard(std::size_t count, TimePoint now);
+    /// @brief Like sampleHeard(), with the members that were reported to this daemon.
+    std::vector<std::string> samplePresent(std::size_t count, TimePoint now);
     /// @brief Makes a digest due to every live member at once, as after a change that they wait for.
     void expediteDigests(TimePoint now);
 
     /// @brief Sums the runner states of the live members.
     std::unordered_map<RunnerKey, RunnerSummary> summarize(TimePoint now) const;
+    /// @brief Adds the runner states of the live members that name @a aggregator as theirs.
+    void addTotals(
+        std::string_view aggregator, TimePoint now, std::unordered_map<RunnerKey, RunnerSummary>& totals) const;
+    /// @brief A live member that reports to a daemon.
+    struct Reporter {
+        std::string ip;
+        /// Sequence of its newest digest.
+        std::uint64_t sequence = 0;
+    };
+    /// @brief Live members that name @a aggregator as theirs.
+    std::vector<Reporter> reportersTo(std::string_view aggregator, TimePoint now) const;
+    /// @brief Addresses of all members, live or not, without this daemon.
+    std::vector<std::string> knownIps() const;
+    /// @brief Addresses of the members that showed a sign of life within the presence timeout.
+    std::vector<std::string> presentIps(TimePoint now) const;
     /// @brief Addresses of the live members, without this daemon.
     std::vector<std::string> liveIps(TimePoint now) const;
     /// @brief Number of live members, without this daemon.
@@ -77,19 +116,30 @@
     struct Member {
         std::optional<Digest> digest;
         TimePoint heardAt {};
+        /// Last time at which a daemon that hears the member named it, and at which any daemon named it.
+        TimePoint reportedAt {};
+        TimePoint repeatedAt {};
         TimePoint knownSince {};
         TimePoint nextDigestAt {};
+
+        TimePoint lastSignOfLife() const { return std::max({ heardAt, reportedAt, repeatedAt, knownSince }); }
     };
 
     bool isLive(const Member& member, TimePoint now) const;
+    void forgetSilent(TimePoint now);
+    static void addStates(const Member& member, TimePoint now, std::unordered_map<RunnerKey, RunnerSummary>& totals);
+    static std::vector<std::string> takeSample(
+        std::vector<std::string> candidates, std::size_t count, std::string& lastSampled);
     void add(const std::string& ip, TimePoint now);
 
     std::string m_ownIp;
     std::uint64_t m_ownIncarnation;
     MembersOptions m_options;
     std::map<std::string, Member> m_members;
-    /// Last address of the previous sample, after which the next one begins.
+    /// Last addresses of the previous samples, after which the next ones begin.
     std::string m_lastSampled;
+    std::string m_lastHeardSampled;
+    std::string m_lastPresentSampled;
 };
 
 }
--- a/src/fleet/ReaderElection.cpp
+++ b/src/fleet/ReaderElection.cpp
@@ -24,7 +24,8 @@
     for (const auto& ip : liveIps)
         candidates.emplace_back(hash64(ip), ip);
     candidates.emplace_back(hash64(m_ownIp), m_ownIp);
-    const auto target = std::max(m_options.minReaders, candidates.size() / m_options.membersPerReader);
+    const auto target
+        = std::clamp(candidates.size() / m_options.membersPerReader, m_options.minReaders, m_options.maxReaders);
     const auto count = std::min(target, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
     m_readers.clear();
--- a/tests/common/CborTest.cpp
+++ b/tests/common/CborTest.cpp
@@ -34,9 +34,8 @@
 
 TEST_CASE("a document of every kind of item is decoded as it was encoded")
 {
-    const json document
-        = { 1, -70000, 1u << 20, 5000000000u, "text", true, nullptr, 0.5, json::object({ { "a", { 1, 2 } }, { "b", {} } }),
-              json::binary({ 0x81, 0x9f, 0xff }), std::string(300, 'x') };
+    const json document = { 1, -70000, 1u << 20, 5000000000u, "text", true, nullptr, 0.5,
+        json::object({ { "a", { 1, 2 } }, { "b", {} } }), json::binary({ 0x81, 0x9f, 0xff }), std::string(300, 'x') };
     CHECK(*decodeCbor(encode(document)) == document);
 }
 
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -134,6 +134,8 @@
     const fleet::FreshnessReply reply { 6, 250, 9 };
     CHECK(std::get<fleet::FreshnessReply>(*fleet::decode(fleet::encode(reply))) == reply);
     CHECK_FALSE(fleet::decode("garbage"));
+    // The largest datagram, as an array in an array in an array and so on.
+    CHECK_FALSE(fleet::decode(std::string(65507, '\x81')));
     CHECK_FALSE(fleet::decode(""));
     CHECK_FALSE(fleet::decode("\x82\x09\x80"));
 }
--- a/tests/upstream/ConnectionPoolTest.cpp
+++ b/tests/upstream/ConnectionPoolTest.cpp
@@ -215,28 +215,16 @@
     constexpr std::size_t blockBytes = 16384;
     std::string head;
     std::string block(blockBytes, 'x');
-    SUBCASE("in the body of a late response to an earlier request")
-    {
-        head = "HTTP/1.1 200 OK\r\nId: earlier\r\n\r\n";
-    }
+    SUBCASE("in the body of a late response to an earlier request") { head = "HTTP/1.1 200 OK\r\nId: earlier\r\n\r\n"; }
     SUBCASE("as informational responses")
     {
         block.clear();
         while (block.size() < blockBytes)
             block += "HTTP/1.1 103 Early Hints\r\n\r\n";
     }
-    SUBCASE("in the headers")
-    {
-        head = "HTTP/1.1 200 OK\r\nId: a\r\nX-Padding: ";
-    }
-    SUBCASE("in the reason phrase")
-    {
-        head = "HTTP/1.1 200 ";
-    }
-    SUBCASE("as empty lines before the status line")
-    {
-        block.assign(blockBytes, '\n');
-    }
+    SUBCASE("in the headers") { head = "HTTP/1.1 200 OK\r\nId: a\r\nX-Padding: "; }
+    SUBCASE("in the reason phrase") { head = "HTTP/1.1 200 "; }
+    SUBCASE("as empty lines before the status line") { block.assign(blockBytes, '\n'); }
     Fixture fixture;
     const auto outcome = fixture.start("a");
     fixture.awaitRequests(0, 1);
