Read the store from three daemons in a fleet of any size

Causes seen in its logs: every daemon that starts sends a watch right after its listing, since it knows no other daemon yet; each change ends the watches of all readers, and the next change, often 200 ms later, ends them again; and readers grew with the fleet, though only aggregators ask them now.

A daemon now waits 0.6 s between its first listing and its first watch, changes are read in batches of 250 ms rather than 120, and there are three readers.

Batches of a second were not tried: they would use up half of the time in which a change has to be in force.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -21,6 +21,14 @@
     constexpr Duration metricsInterval = std::chrono::seconds(2);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
+    store::Mirror::Options mirrorOptions()
+    {
+        store::Mirror::Options options;
+        options.batchDelay = std::chrono::milliseconds(250);
+        options.firstWatchDelay = std::chrono::milliseconds(600);
+        return options;
+    }
+
     std::string readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -43,7 +51,7 @@
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device {}())
     , m_client(m_context)
-    , m_mirror(protocol, {}, [this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_mirror(protocol, mirrorOptions(), [this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_admin(m_context, settings.adminAddress.ip, settings.adminAddress.port,
           gateway::AdminServer::Sources {
               [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } },
--- a/src/fleet/ReaderElection.cpp
+++ b/src/fleet/ReaderElection.cpp
@@ -24,9 +24,7 @@
     for (const auto& ip : liveIps)
         candidates.emplace_back(hash64(ip), ip);
     candidates.emplace_back(hash64(m_ownIp), m_ownIp);
-    const auto target
-        = std::clamp(candidates.size() / m_options.membersPerReader, m_options.minReaders, m_options.maxReaders);
-    const auto count = std::min(target, candidates.size());
+    const auto count = std::min(m_options.readers, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
     m_readers.clear();
     m_isElected = false;
--- a/src/fleet/ReaderElection.h
+++ b/src/fleet/ReaderElection.h
@@ -17,12 +17,9 @@
 class ReaderElection {
 public:
     struct Options {
-        /// Readers in a small fleet; fewer if the fleet has fewer daemons.
-        std::size_t minReaders = 3;
-        /// Daemons for each reader in a large fleet, where this gives more than minReaders.
-        std::size_t membersPerReader = 25;
-        /// Most readers; their calls to the store are the fleet's.
-        std::size_t maxReaders = 5;
+        /// Readers; fewer if the fleet has fewer daemons. The number does not grow with the fleet, of which in a large
+        /// one only the aggregators ask the readers.
+        std::size_t readers = 3;
         /// Time between the freshness requests of a daemon that is not elected.
         Duration requestInterval = std::chrono::milliseconds(600);
         /// Age of the newest proof above which a daemon that is not elected reads the store as well.
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -115,8 +115,11 @@
     if (page->hasMore && !m_lastListedKey.empty())
         return false;
     const auto sentAt = m_sentAt;
+    const bool isFirst = !m_isComplete;
     const bool hasChanged = finishListing(now);
     recordSuccess(sentAt, now);
+    if (isFirst)
+        m_nextQueryAt = now + m_options.firstWatchDelay;
     return hasChanged;
 }
 
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -49,6 +49,9 @@
         Duration watchWait = std::chrono::milliseconds(1000);
         /// Delay between a watch that returned changes and the next, so that further changes arrive in one batch.
         Duration batchDelay = std::chrono::milliseconds(120);
+        /// Delay between the first complete listing and the first watch. Meanwhile a daemon that has just started
+        /// learns whether others read the store for it.
+        Duration firstWatchDelay {};
         /// Timeout of a query, on top of the time for which the store holds a watch open.
         Duration responseTimeout = std::chrono::milliseconds(800);
         /// Timeout of the first query after a failure, which the store answers at once; it is short, to find soon
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -277,3 +277,22 @@
     CHECK(fixture.mirror.isComplete());
     CHECK(*fixture.mirror.provenAt() == start);
 }
+
+TEST_CASE("a daemon that has just listed the store gives others time to read it in its place")
+{
+    ScriptedProtocol protocol;
+    protocol.pages["all"] = { { { "a", "1", 5 } }, false, 10 };
+    store::Mirror::Options options;
+    options.firstWatchDelay = milliseconds(600);
+    Mirror mirror(protocol, options, [] { return 0.5; });
+    REQUIRE(mirror.nextQuery(start));
+    CHECK(mirror.handleResponse(200, "all", start));
+    CHECK(mirror.isComplete());
+    CHECK_FALSE(mirror.nextQuery(start + milliseconds(599)));
+    SUBCASE("another daemon reads")
+    {
+        mirror.setReading(false);
+        CHECK_FALSE(mirror.nextQuery(start + milliseconds(600)));
+    }
+    SUBCASE("no other daemon reads") { CHECK(mirror.nextQuery(start + milliseconds(600))->target == "watch:10:1000"); }
+}
