Ignore a full copy of the store that is older than the mirror

Operators of similar systems report that a server that had left, or a withdrawn key, was in use again after a restart. A daemon that restarted lists the store and knows nothing of what was removed before. A full copy from a daemon that has been cut off since brought such an item back, and dropped newer ones (test, failed before). Only a race makes a daemon ask for one today; the mirror now refuses it whatever the caller does.

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -243,6 +243,9 @@
     // Changes between the revision of this mirror and the start of the delta would be missed.
     if (!delta.isFull && delta.since > m_revision)
         return false;
+    // An older copy may hold items whose removal this mirror was never told of, since it was listed after them.
+    if (delta.isFull && m_isComplete && delta.completeRevision < m_revision)
+        return false;
     bool hasChanged = false;
     if (delta.isFull) {
         std::set<std::string_view> present;
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -296,3 +296,19 @@
     }
     SUBCASE("no other daemon reads") { CHECK(mirror.nextQuery(start + milliseconds(600))->target == "watch:10:1000"); }
 }
+
+TEST_CASE("a full copy from a daemon that is behind brings nothing back that was removed before this daemon's listing")
+{
+    // This daemon restarted after the removal of "gone" and never knew it; the other one has been cut off since before.
+    Fixture fixture;
+    fixture.startQuery(start);
+    REQUIRE(fixture.mirror.handleResponse(200, "all", start));
+    store::Delta copy;
+    copy.isFull = true;
+    copy.completeRevision = 8;
+    copy.items = { { "a", "1", 5 }, { "gone", "1", 7 } };
+    CHECK_FALSE(fixture.mirror.merge(copy, start));
+    CHECK_FALSE(fixture.mirror.items().contains("gone"));
+    CHECK(fixture.mirror.items().contains("b"));
+    CHECK(fixture.mirror.completeRevision() == 10);
+}
