--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -24,7 +24,6 @@
     store::Mirror::Options mirrorOptions()
     {
         store::Mirror::Options options;
-        options.batchDelay = std::chrono::milliseconds(250);
         options.firstWatchDelay = std::chrono::milliseconds(600);
         return options;
     }
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -71,7 +71,7 @@
     updateMembers(now);
     send(m_gossip.takeDue(localState(), now));
     if (shouldAskReaders(now)) {
-        if (const auto outgoing = m_readerElection.nextRequest(now))
+        if (const auto outgoing = m_readerElection.nextRequest(now, m_gossip.aggregation().isOwnAggregator()))
             m_socket.send(outgoing->ip, fleet::encode(outgoing->request));
     }
     const bool isReading = isReader(now);
--- a/src/fleet/ReaderElection.cpp
+++ b/src/fleet/ReaderElection.cpp
@@ -41,11 +41,11 @@
     return m_isElected || !provenAt || now - *provenAt > m_options.maxProofAge;
 }
 
-std::optional<ReaderElection::OutgoingRequest> ReaderElection::nextRequest(TimePoint now)
+std::optional<ReaderElection::OutgoingRequest> ReaderElection::nextRequest(TimePoint now, bool isAggregator)
 {
     if (m_isElected || m_readers.empty() || now < m_nextRequestAt)
         return std::nullopt;
-    m_nextRequestAt = now + m_options.requestInterval;
+    m_nextRequestAt = now + (isAggregator ? m_options.aggregatorRequestInterval : m_options.requestInterval);
     const auto& ip = m_readers[m_nextReader++ % m_readers.size()];
     const auto nonce = m_nextNonce++;
     m_pending[nonce] = { ip, now };
--- a/src/fleet/ReaderElection.h
+++ b/src/fleet/ReaderElection.h
@@ -22,6 +22,8 @@
         std::size_t readers = 3;
         /// Time between the freshness requests of a daemon that is not elected.
         Duration requestInterval = std::chrono::milliseconds(600);
+        /// The same for an aggregator, whose proofs grow older on their way to other daemons.
+        Duration aggregatorRequestInterval = std::chrono::milliseconds(200);
         /// Age of the newest proof above which a daemon that is not elected reads the store as well.
         Duration maxProofAge = std::chrono::milliseconds(2700);
         /// Most requests without a reply; beyond them the oldest is dropped.
@@ -56,7 +58,8 @@
     /// @brief Whether this daemon is an elected reader, which the others send their requests to.
     bool isElected() const { return m_isElected; }
     /// @brief The next freshness request, if one is due; the readers take turns.
-    std::optional<OutgoingRequest> nextRequest(TimePoint now);
+    /// @param isAggregator whether this daemon passes its proof on to others
+    std::optional<OutgoingRequest> nextRequest(TimePoint now, bool isAggregator = false);
     /// @brief Matches a reply to its request.
     ///
     /// The age of the proof is subtracted from the time at which the request was sent, so that network delay or a
--- a/tests/fleet/ReaderElectionTest.cpp
+++ b/tests/fleet/ReaderElectionTest.cpp
@@ -78,6 +78,20 @@
     CHECK(askedReaders.size() == 3);
 }
 
+TEST_CASE("an aggregator asks more often, since its proofs grow older on their way to other daemons")
+{
+    const auto ips = addresses(20);
+    for (const auto& ip : ips) {
+        ReaderElection election(ip, 1);
+        election.update(withoutOwn(ips, ip));
+        if (election.isElected())
+            continue;
+        CHECK(election.nextRequest(start, true));
+        CHECK_FALSE(election.nextRequest(start + milliseconds(199), true));
+        CHECK(election.nextRequest(start + milliseconds(200), true));
+    }
+}
+
 TEST_CASE("a reply without a pending request, or a repeated one, is ignored")
 {
     const auto ips = addresses(20);
