Do not read the page of a pending listing as changes after a copy was merged

A full copy that arrived while the first listing was under way ended the listing, and the next response, a page, was decoded as the changes of a watch (test, failed before). No daemon asks for a copy at that time today.

Tried and reverted: a daemon that the store does not answer takes its first copy from another one.

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -267,7 +267,8 @@
     confirmCurrent(now);
     if (!m_isComplete && delta.isFull) {
         m_isComplete = true;
-        m_isListing = false;
+        // A pending query is a page of the first listing, which goes on: the next response must not be read as changes.
+        m_isListing = m_isQueryPending;
         hasChanged = true;
     }
     return hasChanged;
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -278,6 +278,32 @@
     CHECK(*fixture.mirror.provenAt() == start);
 }
 
+TEST_CASE("a copy from another daemon while a listing is pending is not taken for the end of that listing")
+{
+    Fixture fixture;
+    CHECK(fixture.startQuery(start) == "list:");
+    store::Delta copy;
+    copy.isFull = true;
+    copy.completeRevision = 8;
+    copy.items = { { "a", "1", 5 }, { "gone", "1", 7 } };
+    CHECK(fixture.mirror.merge(copy, start));
+    CHECK(fixture.mirror.isComplete());
+    SUBCASE("the listing ends after it")
+    {
+        CHECK(fixture.mirror.handleResponse(200, "all", start));
+        CHECK_FALSE(fixture.mirror.items().contains("gone"));
+        CHECK(fixture.mirror.items().contains("b"));
+        CHECK(fixture.mirror.provenAt() == start);
+        CHECK(fixture.startQuery(start) == "watch:10:1000");
+    }
+    SUBCASE("the listing fails")
+    {
+        fixture.mirror.handleFailure("no answer", start);
+        CHECK_FALSE(fixture.mirror.provenAt());
+        CHECK(fixture.startQuery(start + milliseconds(200)) == "list:");
+    }
+}
+
 TEST_CASE("a daemon that has just listed the store gives others time to read it in its place")
 {
     ScriptedProtocol protocol;
