Retry the store from its readers only while it is down

A daemon that is not elected and has a copy now retries each 2 s (1 to 3 with jitter); the three readers retry as before and pass their proof on.

The bound of the test (590 queries of 100 daemons in 8 s) is below what a retry each 0.4 s makes.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -76,6 +76,7 @@
     }
     const bool isReading = isReader(now);
     m_mirror.setReading(isReading);
+    m_mirror.setStandby(!m_readerElection.isElected() && m_mirror.isComplete());
     if (isReading == m_wasReader)
         return;
     m_wasReader = isReading;
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -69,7 +69,8 @@
     ++m_failures;
     m_listedItems.clear();
     m_lastListedKey.clear();
-    m_nextQueryAt = now + fromSeconds(toSeconds(m_retryDelay) * (0.5 + m_random()));
+    const auto delay = m_isStandby ? m_options.standbyRetryDelay : m_retryDelay;
+    m_nextQueryAt = now + fromSeconds(toSeconds(delay) * (0.5 + m_random()));
     m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
 }
 
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -63,6 +63,9 @@
         Duration initialRetryDelay = std::chrono::milliseconds(100);
         /// Longest delay before a retry, without its jitter.
         Duration maxRetryDelay = std::chrono::milliseconds(400);
+        /// The same for a standby, which reads the store only because no proof comes from the daemons that should read
+        /// it; they are the first to find that the store is back.
+        Duration standbyRetryDelay = std::chrono::milliseconds(2000);
         /// Time without a confirmation that the mirror is current, after which failed queries count as an outage.
         Duration outageThreshold = std::chrono::milliseconds(2500);
         /// Most removals that are kept for the deltas of other daemons; beyond them all are forgotten, and a mirror
@@ -94,6 +97,9 @@
     void confirmCurrent(TimePoint at) { m_lastCurrentAt = std::max(m_lastCurrentAt.value_or(at), at); }
     /// @brief Chooses whether this mirror queries the store, or only merges the deltas of other daemons.
     void setReading(bool isReading) { m_isReading = isReading; }
+    /// @brief Chooses whether this mirror queries the store as a standby. While the store is down, all daemons of a
+    /// fleet are without proofs; as standbys they do not retry as often as the few readers.
+    void setStandby(bool isStandby) { m_isStandby = isStandby; }
     /// @brief Revision of the newest change that the mirror holds.
     std::uint64_t changeRevision() const { return m_changeRevision; }
     /// @brief Revision up to which the mirror holds every change, 0 before the first complete listing. It may be lower
@@ -141,6 +147,7 @@
     std::uint64_t m_changeRevision = 0;
     /// Whether this mirror queries the store itself.
     bool m_isReading = true;
+    bool m_isStandby = false;
     /// Items of the unfinished listing.
     std::map<std::string, Item> m_listedItems;
     std::string m_lastListedKey;
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -304,6 +304,36 @@
     }
 }
 
+TEST_CASE("a fleet that has lost the store retries from its readers, not from every daemon")
+{
+    // Load pattern: an outage of eight seconds, in which all daemons run out of proofs at the same time.
+    constexpr int daemons = 100;
+    constexpr int readers = 3;
+    constexpr Duration outage = std::chrono::seconds(8);
+    Fixture fixture;
+    std::uint64_t queries = 0;
+    for (int i = 0; i < daemons; ++i) {
+        Mirror mirror(fixture.protocol, {}, [] { return 0.5; });
+        mirror.nextQuery(start);
+        REQUIRE(mirror.handleResponse(200, "all", start));
+        mirror.setStandby(i >= readers);
+        for (auto now = start; now < start + outage; now += milliseconds(75)) {
+            if (mirror.nextQuery(now))
+                mirror.handleFailure("status 503", now);
+        }
+        queries += mirror.queryCount();
+    }
+    CHECK(queries <= 5 * daemons + 30 * readers);
+    // A standby finds the store again within three seconds even if none of the readers does.
+    Mirror standby(fixture.protocol, {}, [] { return 0.99; });
+    standby.nextQuery(start);
+    REQUIRE(standby.handleResponse(200, "all", start));
+    standby.setStandby(true);
+    REQUIRE(standby.nextQuery(start));
+    standby.handleFailure("status 503", start);
+    CHECK(standby.nextQuery(start + std::chrono::seconds(3)));
+}
+
 TEST_CASE("a daemon that has just listed the store gives others time to read it in its place")
 {
     ScriptedProtocol protocol;
