Let soaks run side by side, and end one that cannot start with its reason

Each soak took the same loopback addresses. It now holds a reservation of its subnet and takes the next free one; an error that remains is printed and ends the program with 2.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "soak/Soak.h"
 
 #include <CLI/CLI.hpp>
+#include <asio.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -24,10 +25,28 @@
     return result;
 }
 
+/// Binds an address of the first subnet 127.N.0.0/16, from N = @a octet on, that no other soak has bound. While the
+/// result exists, soaks beside this one take other subnets.
+/// @throws std::system_error if none is free
+asio::ip::tcp::acceptor reserveSubnet(asio::io_context& context, int& octet)
+{
+    constexpr int lastOctet = 254;
+    constexpr std::uint16_t reservationPort = 7999;
+    for (;; ++octet) {
+        try {
+            const auto ip = asio::ip::make_address("127." + std::to_string(octet) + ".255.1");
+            return { context, asio::ip::tcp::endpoint(ip, reservationPort), false };
+        } catch (const std::system_error&) {
+            if (octet >= lastOctet)
+                throw;
+        }
+    }
+}
+
 }
 
 int main(int argumentCount, char** arguments)
-{
+try {
     CLI::App app { "Injects faults into real daemons with simulated runners and a store on loopback, and checks the "
                    "guarantees to callers." };
     Soak::Options options;
@@ -39,7 +58,8 @@
     app.add_option("--seeds", seeds, "Seeds to run");
     app.add_option("--seed-file", seedFile, "File with more seeds, one per line");
     app.add_option("--seconds", seconds, "Duration of the schedule of a seed, in seconds")->capture_default_str();
-    app.add_option("--base", options.installation.secondOctet, "Second octet of the addresses (127.BASE.0.0/16)")
+    app.add_option("--base", options.installation.secondOctet,
+           "Second octet of the addresses (127.BASE.0.0/16); a greater one if another soak uses it")
         ->capture_default_str();
     app.add_option("--daemons", options.installation.daemonCount, "Number of daemons")->capture_default_str();
     app.add_option("--runners", options.installation.runnerCount, "Number of runners")->capture_default_str();
@@ -54,6 +74,8 @@
         const auto more = readSeeds(seedFile);
         seeds.insert(seeds.end(), more.begin(), more.end());
     }
+    asio::io_context context;
+    const auto reservation = reserveSubnet(context, options.installation.secondOctet);
     std::size_t failed = 0;
     for (const auto seed : seeds) {
         options.seed = seed;
@@ -67,4 +89,7 @@
     }
     std::cout << seeds.size() - failed << " passed, " << failed << " failed" << std::endl;
     return failed == 0 ? 0 : 1;
+} catch (const std::exception& error) {
+    std::cerr << "soak: " << error.what() << std::endl;
+    return 2;
 }
