--- a/src/fleet/Gossip.cpp
+++ b/src/fleet/Gossip.cpp
@@ -113,8 +113,10 @@
 
 void Gossip::sendToRandomMember(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing)
 {
+    if (now < m_nextRandomDigestAt)
+        return;
     const auto known = m_members.knownIps();
-    if (now < m_nextRandomDigestAt || known.empty())
+    if (known.empty())
         return;
     m_nextRandomDigestAt = now + m_options.randomDigestInterval;
     const auto index = static_cast<std::size_t>(m_random() * static_cast<double>(known.size()));
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -8,6 +8,18 @@
 
     constexpr double tenthsPerRequest = 10.0;
 
+    /// Addresses of the members for which a predicate holds.
+    template <typename Members, typename Predicate>
+    std::vector<std::string> ipsOf(const Members& members, Predicate isWanted)
+    {
+        std::vector<std::string> result;
+        for (const auto& [ip, member] : members) {
+            if (isWanted(member))
+                result.push_back(ip);
+        }
+        return result;
+    }
+
 }
 
 Members::Members(std::string ownIp, std::uint64_t ownIncarnation, const MembersOptions& options)
@@ -101,33 +113,24 @@
 std::vector<std::string> Members::sampleMembers()
 {
     // Names only members that have sent a digest, so that a stale address is not passed on.
-    std::vector<std::string> candidates;
-    for (const auto& [ip, member] : m_members) {
-        if (member.digest)
-            candidates.push_back(ip);
-    }
+    auto candidates = ipsOf(m_members, [](const Member& member) { return member.digest.has_value(); });
     return takeSample(std::move(candidates), m_options.membersPerDigest, m_lastSampled);
 }
 
 std::vector<std::string> Members::sampleHeard(std::size_t count, TimePoint now)
 {
-    std::vector<std::string> candidates;
-    for (const auto& [ip, member] : m_members) {
-        if (now - member.heardAt <= m_options.reportTimeout)
-            candidates.push_back(ip);
-    }
+    auto candidates
+        = ipsOf(m_members, [&](const Member& member) { return now - member.heardAt <= m_options.reportTimeout; });
     return takeSample(std::move(candidates), count, m_lastHeardSampled);
 }
 
 std::vector<std::string> Members::samplePresent(std::size_t count, TimePoint now)
 {
     // Members that were only repeated are left out: daemons could repeat a dead one to each other forever.
-    std::vector<std::string> candidates;
-    for (const auto& [ip, member] : m_members) {
+    auto candidates = ipsOf(m_members, [&](const Member& member) {
         const bool isHeard = now - member.heardAt <= m_options.reportTimeout;
-        if (isHeard || now - member.reportedAt <= m_options.presenceTimeout)
-            candidates.push_back(ip);
-    }
+        return isHeard || now - member.reportedAt <= m_options.presenceTimeout;
+    });
     return takeSample(std::move(candidates), count, m_lastPresentSampled);
 }
 
@@ -199,30 +202,18 @@
 
 std::vector<std::string> Members::knownIps() const
 {
-    std::vector<std::string> result;
-    for (const auto& [ip, member] : m_members)
-        result.push_back(ip);
-    return result;
+    return ipsOf(m_members, [](const Member&) { return true; });
 }
 
 std::vector<std::string> Members::presentIps(TimePoint now) const
 {
-    std::vector<std::string> result;
-    for (const auto& [ip, member] : m_members) {
-        if (now - member.lastSignOfLife() <= m_options.presenceTimeout)
-            result.push_back(ip);
-    }
-    return result;
+    return ipsOf(
+        m_members, [&](const Member& member) { return now - member.lastSignOfLife() <= m_options.presenceTimeout; });
 }
 
 std::vector<std::string> Members::liveIps(TimePoint now) const
 {
-    std::vector<std::string> result;
-    for (const auto& [ip, member] : m_members) {
-        if (isLive(member, now))
-            result.push_back(ip);
-    }
-    return result;
+    return ipsOf(m_members, [&](const Member& member) { return isLive(member, now); });
 }
 
 std::size_t Members::liveCount(TimePoint now) const
