Log changes that a daemon knows of but lacks

The logs could not tell whether a daemon without a change had heard of it from others (it ignores them) or had not (nobody told it). MissedChanges keeps the time at which the oldest missing change was first heard of; mirror-behind and mirror-caught-up state it. No decision uses it yet.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -15,6 +15,8 @@
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
     /// Time behind another daemon after which this one queries the store itself.
     constexpr Duration maxTimeBehind = std::chrono::milliseconds(1000);
+    /// Time behind another daemon that is logged; shorter times are usual while a change spreads.
+    constexpr Duration loggedTimeBehind = std::chrono::milliseconds(600);
     /// Age of the newest proof from which a daemon that reports to an aggregator asks the readers itself.
     constexpr Duration maxPassedProofAge = std::chrono::milliseconds(1600);
     /// Shortest time between two log lines on the number of members, which changes all the time in a large fleet.
@@ -69,6 +71,7 @@
 void FleetLink::tick(TimePoint now)
 {
     updateMembers(now);
+    logMissedChanges(now);
     send(m_gossip.takeDue(localState(), now));
     if (shouldAskReaders(now)) {
         if (const auto outgoing = m_readerElection.nextRequest(now, m_gossip.aggregation().isOwnAggregator()))
@@ -184,6 +187,7 @@
 
 void FleetLink::checkForMissedChanges(const std::string& ip, std::uint64_t changeRevision, TimePoint now)
 {
+    m_missedChanges.recordPeer(changeRevision, m_mirror.completeRevision(), now);
     if (m_mirror.completeRevision() >= changeRevision) {
         m_behindSince.reset();
         return;
@@ -196,6 +200,23 @@
     fetch(ip);
 }
 
+void FleetLink::logMissedChanges(TimePoint now)
+{
+    m_missedChanges.recordOwn(m_mirror.completeRevision());
+    const auto behindSince = m_missedChanges.behindSince();
+    if (behindSince && !m_loggedBehindSince && now - *behindSince > loggedTimeBehind) {
+        m_loggedBehindSince = behindSince;
+        telemetry::logWarning("mirror-behind",
+            { { "store_revision", m_mirror.completeRevision() }, { "behind_ms", toMilliseconds(now - *behindSince) },
+                { "reader", m_wasReader }, { "elected", m_readerElection.isElected() },
+                { "store_failure", m_mirror.failure() } });
+    } else if (!behindSince && m_loggedBehindSince) {
+        telemetry::logInfo("mirror-caught-up",
+            { { "store_revision", m_mirror.completeRevision() },
+                { "behind_ms", toMilliseconds(now - *std::exchange(m_loggedBehindSince, std::nullopt)) } });
+    }
+}
+
 void FleetLink::fetch(const std::string& ip)
 {
     if (std::exchange(m_isFetchingChanges, true))
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -4,6 +4,7 @@
 #include "edge/RelaySettings.h"
 #include "fleet/ByteBudget.h"
 #include "fleet/Gossip.h"
+#include "fleet/MissedChanges.h"
 #include "fleet/ReaderElection.h"
 #include "gateway/HttpServer.h"
 #include "store/Mirror.h"
@@ -58,6 +59,8 @@
     void send(const std::vector<fleet::Gossip::Outgoing>& outgoing);
     void updateMembers(TimePoint now);
     void checkForMissedChanges(const std::string& ip, std::uint64_t changeRevision, TimePoint now);
+    /// Logs that changes that other daemons hold are missing for long, and that they have come.
+    void logMissedChanges(TimePoint now);
     void fetch(const std::string& ip);
     gateway::HttpResponse serve(const gateway::HttpRequest& request);
 
@@ -67,6 +70,9 @@
     Events m_events;
     fleet::Gossip m_gossip;
     fleet::ReaderElection m_readerElection;
+    fleet::MissedChanges m_missedChanges;
+    /// Set once a log line says that changes are missing.
+    std::optional<TimePoint> m_loggedBehindSince;
     FleetSocket m_socket;
     gateway::HttpServer m_server;
     fleet::ByteBudget m_changesBudget;
