Let a daemon that reads the store take missing changes from the others

What callers saw: after a confirmed change a daemon went on answering 404 or 401 as the older version says, for as long as the store refused it or could not be reached, and up to 3 s longer. Cause: a daemon that queries the store took changes from the store alone and ignored what the others announced. Elected readers query for the whole outage; any other daemon becomes a standby reader when its proof is 2.7 s old, ignores the others from then on, and waits 1 to 3 s between its queries. Besides, a message of a daemon that was behind as well cleared the time since which changes were missing, so that the fallback to a query of its own (after 1 s) could be put off. Change: MissedChanges decides. A daemon that does not read fetches at once, as before; one that reads gives its own query 0.3 s. Only having the changes ends being behind.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -13,8 +13,6 @@
 
     constexpr std::string_view changesTarget = "/mirror?since=";
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
-    /// Time behind another daemon after which this one queries the store itself.
-    constexpr Duration maxTimeBehind = std::chrono::milliseconds(1000);
     /// Time behind another daemon that is logged; shorter times are usual while a change spreads.
     constexpr Duration loggedTimeBehind = std::chrono::milliseconds(600);
     /// Age of the newest proof from which a daemon that reports to an aggregator asks the readers itself.
@@ -85,13 +83,13 @@
     m_wasReader = isReading;
     telemetry::logInfo("readership-changed",
         { { "reader", isReading }, { "elected", m_readerElection.isElected() },
-            { "heard", static_cast<std::uint64_t>(m_liveCount) }, { "behind", m_behindSince.has_value() } });
+            { "heard", static_cast<std::uint64_t>(m_liveCount) },
+            { "behind", m_missedChanges.behindSince().has_value() } });
 }
 
 bool FleetLink::isReader(TimePoint now) const
 {
-    const bool isOverdue = m_behindSince && now - *m_behindSince > maxTimeBehind;
-    return isOverdue || !m_mirror.isComplete() || m_readerElection.isReader(provenAt(), now);
+    return m_missedChanges.isOverdue(now) || !m_mirror.isComplete() || m_readerElection.isReader(provenAt(), now);
 }
 
 std::optional<TimePoint> FleetLink::provenAt() const
@@ -188,16 +186,9 @@
 void FleetLink::checkForMissedChanges(const std::string& ip, std::uint64_t changeRevision, TimePoint now)
 {
     m_missedChanges.recordPeer(changeRevision, m_mirror.completeRevision(), now);
-    if (m_mirror.completeRevision() >= changeRevision) {
-        m_behindSince.reset();
-        return;
-    }
-    // A reader receives the change from the store itself.
-    if (m_wasReader)
-        return;
-    if (!m_behindSince)
-        m_behindSince = now;
-    fetch(ip);
+    const bool hasPeerMore = changeRevision > m_mirror.completeRevision();
+    if (hasPeerMore && m_missedChanges.shouldFetch(m_wasReader, now))
+        fetch(ip);
 }
 
 void FleetLink::logMissedChanges(TimePoint now)
@@ -240,7 +231,6 @@
             telemetry::logWarning("changes-unreadable", { { "peer", ip }, { "detail", delta.error().what } });
             return;
         }
-        m_behindSince.reset();
         if (!m_mirror.merge(*delta, currentTime()))
             return;
         // Messages with the new revision let other daemons that are behind fetch from here.
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -80,7 +80,6 @@
     std::vector<fleet::RunnerState> m_states;
     std::vector<dispatch::CrashRecord> m_crashes;
     std::optional<TimePoint> m_peerProvenAt;
-    std::optional<TimePoint> m_behindSince;
     std::size_t m_liveCount = 0;
     TimePoint m_nextMembersLogAt {};
     bool m_isFetchingChanges = false;
--- a/src/fleet/MissedChanges.cpp
+++ b/src/fleet/MissedChanges.cpp
@@ -9,6 +9,16 @@
 
 }
 
+MissedChanges::MissedChanges(const Options& options)
+    : m_options(options)
+{
+}
+
+MissedChanges::MissedChanges()
+    : MissedChanges(Options {})
+{
+}
+
 void MissedChanges::recordPeer(std::uint64_t changeRevision, std::uint64_t ownRevision, TimePoint now)
 {
     recordOwn(ownRevision);
@@ -33,4 +43,15 @@
     return m_changes.front().heardAt;
 }
 
+bool MissedChanges::shouldFetch(bool isReader, TimePoint now) const
+{
+    // A reader's own path to the store may fail while other daemons read it.
+    return !m_changes.empty() && (!isReader || now - m_changes.front().heardAt >= m_options.readerFetchDelay);
+}
+
+bool MissedChanges::isOverdue(TimePoint now) const
+{
+    return !m_changes.empty() && now - m_changes.front().heardAt > m_options.maxTimeBehind;
+}
+
 }
--- a/tests/fleet/MissedChangesTest.cpp
+++ b/tests/fleet/MissedChangesTest.cpp
@@ -43,3 +43,26 @@
     missed.recordOwn(1010);
     CHECK_FALSE(missed.behindSince());
 }
+
+TEST_CASE("a reader fetches a change that its own query does not return in time, other daemons fetch it at once")
+{
+    MissedChanges missed;
+    missed.recordPeer(11, 10, start);
+    CHECK(missed.shouldFetch(false, start));
+    CHECK_FALSE(missed.shouldFetch(true, start + milliseconds(299)));
+    CHECK(missed.shouldFetch(true, start + milliseconds(300)));
+    missed.recordOwn(11);
+    CHECK_FALSE(missed.shouldFetch(false, start + milliseconds(400)));
+    CHECK_FALSE(missed.shouldFetch(true, start + milliseconds(400)));
+}
+
+TEST_CASE("a daemon that lacks a change for long queries the store, whatever daemons that lack it too say")
+{
+    MissedChanges missed;
+    missed.recordPeer(11, 10, start);
+    missed.recordPeer(10, 10, start + milliseconds(900));
+    CHECK_FALSE(missed.isOverdue(start + milliseconds(1000)));
+    CHECK(missed.isOverdue(start + milliseconds(1001)));
+    missed.recordOwn(11);
+    CHECK_FALSE(missed.isOverdue(start + milliseconds(1002)));
+}
