Read the store in time when all readers have lost it

Daemons that are not elected read the store when their newest proof is older than 2.7 s. When all three readers lose the store at once (five of seven daemons cut off from it, say), the others learn of a change up to 2.7 s after it, though they reach the store all the while and have 2 s. Change: the age follows the deadline for configurations, which is a setting now (configuration.apply_milliseconds, 2000 by default): 0.8 of it, at most 2.7 s as before; and requests for proofs go out each 0.15 of it (0.3 s instead of 0.6 s), so that the age is not reached while the readers work. The two tests that state the age and the interval state the new ones.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -242,7 +242,7 @@
         return;
     }
     m_settings = *settings;
-    m_fleet.addSeeds(m_settings, currentTime());
+    m_fleet.applySettings(m_settings, currentTime());
     m_traffic.setSettings(m_settings);
     telemetry::logInfo("reload", { { "trigger", trigger }, { "host", m_settings.host } });
 }
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -52,7 +52,8 @@
     , m_client(client)
     , m_events(std::move(events))
     , m_gossip({ settings.ip, settings.region, incarnation }, {}, std::move(random))
-    , m_readerElection(settings.ip, incarnation)
+    , m_readerElection(
+          settings.ip, incarnation, fleet::ReaderElection::Options::forDeadline(settings.configurationDeadline))
     , m_socket(context, settings.ip, settings.fleetPort,
           [this](const std::string& from, const fleet::Message& message) { receive(from, message); })
     , m_server(context, serverOptions(settings),
@@ -61,10 +62,14 @@
           })
     , m_changesBudget(settings.linkMegabitsPerSecond * bytesPerMegabit * changesLinkShare, currentTime())
 {
-    addSeeds(settings, currentTime());
+    m_gossip.addSeeds(seedIps(settings), currentTime());
 }
 
-void FleetLink::addSeeds(const RelaySettings& settings, TimePoint now) { m_gossip.addSeeds(seedIps(settings), now); }
+void FleetLink::applySettings(const RelaySettings& settings, TimePoint now)
+{
+    m_gossip.addSeeds(seedIps(settings), now);
+    m_readerElection.setOptions(fleet::ReaderElection::Options::forDeadline(settings.configurationDeadline));
+}
 
 void FleetLink::tick(TimePoint now)
 {
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -36,8 +36,8 @@
     void leave(TimePoint now);
     /// @brief Discards the datagrams that arrived while the process was suspended.
     void onProcessResumed();
-    /// @brief Adds the seeds of @a settings to the members.
-    void addSeeds(const RelaySettings& settings, TimePoint now);
+    /// @brief Adds the seeds of changed settings to the members, and applies their deadline for configurations.
+    void applySettings(const RelaySettings& settings, TimePoint now);
 
     /// @brief Time of the newest freshness proof, from the store or from another daemon.
     std::optional<TimePoint> provenAt() const;
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -122,6 +122,8 @@
     settings.seeds = reader.texts("fleet.seeds");
     settings.stopGracePeriod
         = fromSeconds(reader.number("stop.grace_seconds", toSeconds(settings.stopGracePeriod), 0.5, maxSeconds));
+    settings.configurationDeadline = milliseconds(reader.number(
+        "configuration.apply_milliseconds", toMilliseconds(settings.configurationDeadline), 100, maxMilliseconds));
     settings.revocationDeadline = milliseconds(reader.number(
         "credentials.revocation_milliseconds", toMilliseconds(settings.revocationDeadline), 100, maxMilliseconds));
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio, 0, 10);
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -36,6 +36,8 @@
     std::vector<std::string> seeds;
     /// Longest time from the stop signal to the exit of the process.
     Duration stopGracePeriod = std::chrono::seconds(8);
+    /// Longest time from the publication of a configuration until every daemon uses it.
+    Duration configurationDeadline = std::chrono::milliseconds(2000);
     /// Longest time from the revocation of a credential until every daemon refuses it.
     Duration revocationDeadline = std::chrono::milliseconds(5000);
     /// Retries of the whole fleet per first attempt within the retry window.
--- a/src/fleet/ReaderElection.cpp
+++ b/src/fleet/ReaderElection.cpp
@@ -5,6 +5,26 @@
 
 namespace eelgrassford::fleet {
 
+namespace {
+
+    /// Share of the deadline after which a daemon without a newer proof reads the store; the rest covers the query and
+    /// the adoption of what it returns.
+    constexpr double proofAgeShare = 0.8;
+    constexpr double requestIntervalShare = 0.15;
+    /// Longest values, for deadlines of many seconds. The proof must also stay well within the lease of credentials.
+    constexpr Duration maxProofAgeLimit = std::chrono::milliseconds(2700);
+    constexpr Duration requestIntervalLimit = std::chrono::milliseconds(600);
+
+}
+
+ReaderElection::Options ReaderElection::Options::forDeadline(Duration deadline)
+{
+    Options options;
+    options.maxProofAge = std::min(fromSeconds(toSeconds(deadline) * proofAgeShare), maxProofAgeLimit);
+    options.requestInterval = std::min(fromSeconds(toSeconds(deadline) * requestIntervalShare), requestIntervalLimit);
+    return options;
+}
+
 ReaderElection::ReaderElection(std::string ownIp, std::uint64_t firstNonce, const Options& options)
     : m_ownIp(std::move(ownIp))
     , m_options(options)
--- a/src/fleet/ReaderElection.h
+++ b/src/fleet/ReaderElection.h
@@ -21,13 +21,17 @@
         /// one only the aggregators ask the readers.
         std::size_t readers = 3;
         /// Time between the freshness requests of a daemon that is not elected.
-        Duration requestInterval = std::chrono::milliseconds(600);
+        Duration requestInterval = std::chrono::milliseconds(300);
         /// The same for an aggregator, whose proofs grow older on their way to other daemons.
         Duration aggregatorRequestInterval = std::chrono::milliseconds(200);
         /// Age of the newest proof above which a daemon that is not elected reads the store as well.
-        Duration maxProofAge = std::chrono::milliseconds(2700);
+        Duration maxProofAge = std::chrono::milliseconds(1600);
         /// Most requests without a reply; beyond them the oldest is dropped.
         std::size_t maxPendingRequests = 8;
+
+        /// @brief Options with which a change is in force in time even if all readers lose the store just before it.
+        /// @param deadline longest time from the publication of a change until every daemon uses it
+        static Options forDeadline(Duration deadline);
     };
     /// @brief A freshness request and the reader to send it to.
     struct OutgoingRequest {
@@ -49,6 +53,7 @@
     ReaderElection(std::string ownIp, std::uint64_t firstNonce, const Options& options);
     ReaderElection(std::string ownIp, std::uint64_t firstNonce);
 
+    void setOptions(const Options& options) { m_options = options; }
     /// @brief Repeats the election.
     /// @param liveIps addresses of the live members, without this daemon
     void update(std::span<const std::string> liveIps);
--- a/tests/edge/RelaySettingsTest.cpp
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -40,6 +40,10 @@
     CHECK(result->fleetPort == 7340);
     CHECK(result->seeds == std::vector<std::string> { "10.0.0.2:83" });
     CHECK(result->stopGracePeriod == std::chrono::seconds(8));
+    CHECK(result->configurationDeadline == std::chrono::seconds(2));
+    const auto changed = edge::parseRelaySettings(settings + "[configuration]\napply_milliseconds = 4000\n");
+    REQUIRE(changed);
+    CHECK(changed->configurationDeadline == std::chrono::seconds(4));
 }
 
 TEST_CASE("an invalid setting is refused with its name, its value and what is allowed")
--- a/tests/fleet/ReaderElectionTest.cpp
+++ b/tests/fleet/ReaderElectionTest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/ReaderElection.h"
 
 #include <doctest/doctest.h>
+#include <map>
 #include <queue>
 #include <random>
 #include <set>
@@ -56,8 +57,8 @@
         CHECK(election.isReader(std::nullopt, start));
         if (election.isElected())
             continue;
-        CHECK_FALSE(election.isReader(start, start + milliseconds(2700)));
-        CHECK(election.isReader(start, start + milliseconds(2701)));
+        CHECK_FALSE(election.isReader(start, start + milliseconds(1600)));
+        CHECK(election.isReader(start, start + milliseconds(1601)));
     }
 }
 
@@ -71,8 +72,8 @@
         if (election.isElected())
             continue;
         for (int i = 0; i < 3; ++i)
-            askedReaders.insert(election.nextRequest(start + milliseconds(600) * i)->ip);
-        CHECK_FALSE(election.nextRequest(start + milliseconds(1300)));
+            askedReaders.insert(election.nextRequest(start + milliseconds(300) * i)->ip);
+        CHECK_FALSE(election.nextRequest(start + milliseconds(899)));
         break;
     }
     CHECK(askedReaders.size() == 3);
@@ -183,3 +184,85 @@
     // The check detects a variant that ignores the network delay.
     CHECK(naive > 0);
 }
+
+namespace {
+
+/// Replays a daemon that is not elected, beside readers that each prove their mirrors once in a watch of a second.
+struct Follower {
+    static constexpr Duration tick = milliseconds(75);
+    static constexpr Duration watchWait = milliseconds(1000);
+    static constexpr Duration roundTrip = milliseconds(10);
+
+    std::mt19937_64 random;
+    std::optional<ReaderElection> election;
+    std::optional<TimePoint> provenAt;
+    /// Phase of each reader's watch.
+    std::map<std::string, Duration> phases;
+
+    explicit Follower(std::uint64_t seed)
+        : random(seed)
+    {
+        const auto ips = addresses(7);
+        for (const auto& ip : ips) {
+            phases[ip] = milliseconds(random() % 1000);
+            election.emplace(ip, 1);
+            election->update(withoutOwn(ips, ip));
+            if (!election->isElected())
+                return;
+        }
+    }
+
+    /// Requests a proof if one is due.
+    /// @param lostAt time at which all readers lose the store
+    void request(TimePoint now, TimePoint lostAt)
+    {
+        const auto outgoing = election->nextRequest(now);
+        if (!outgoing)
+            return;
+        const auto provenUntil = std::min(now, lostAt);
+        const auto age = (now - provenUntil) + (provenUntil.time_since_epoch() + phases[outgoing->ip]) % watchWait;
+        const auto status = election->receive({ outgoing->request.nonce, age / milliseconds(1) + 1, 4 });
+        if (!provenAt || *status->provenAt > *provenAt)
+            provenAt = status->provenAt;
+    }
+
+    /// Time of the first tick, from the start until the end, at which the daemon reads the store itself.
+    std::optional<TimePoint> firstRead(TimePoint lostAt, TimePoint end)
+    {
+        auto now = start;
+        request(now, lostAt);
+        for (; now < end; now += tick) {
+            request(now - roundTrip, lostAt);
+            if (election->isReader(provenAt, now))
+                return now;
+        }
+        return std::nullopt;
+    }
+};
+
+}
+
+TEST_CASE("the age of proofs and the time between requests follow the deadline, up to their limits")
+{
+    const auto two = ReaderElection::Options::forDeadline(std::chrono::seconds(2));
+    CHECK(two.maxProofAge == milliseconds(1600));
+    CHECK(two.requestInterval == milliseconds(300));
+    const auto fifteen = ReaderElection::Options::forDeadline(std::chrono::seconds(15));
+    CHECK(fifteen.maxProofAge == milliseconds(2700));
+    CHECK(fifteen.requestInterval == milliseconds(600));
+}
+
+TEST_CASE("a change is in force in time although all readers lose the store just before it")
+{
+    // The platform's deadline, and the time that a query and the adoption take on a loaded host.
+    constexpr Duration deadline = std::chrono::seconds(2);
+    constexpr Duration adoptionTime = milliseconds(200);
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        Follower follower(seed);
+        const auto lostAt = start + std::chrono::seconds(10) + milliseconds(seed * 7);
+        const auto readAt = follower.firstRead(lostAt, lostAt + std::chrono::seconds(5));
+        REQUIRE(readAt);
+        CHECK(*readAt > lostAt);
+        CHECK(*readAt + adoptionTime - lostAt <= deadline);
+    }
+}
