Let a reader that the store refuses take proofs from the other readers

While the store refused it, it answered callers with keys 503 (credentials-not-verifiable) from the fourth second on, although the other readers proved its configuration current, which it held. Change: an elected reader asks the other readers once its own proof from the store is too old. Replies carry only a reader's own proof, so that readers cannot keep each other's proofs alive. The new test on loopback failed before (no proof within its 20 s) and passes.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -122,6 +122,8 @@
 bool FleetLink::shouldAskReaders(TimePoint now) const
 {
     const auto proven = provenAt();
+    if (!m_readerElection.needsProof(m_mirror.provenAt(), now))
+        return false;
     const auto& aggregation = m_gossip.aggregation();
     return !aggregation.isActive() || aggregation.isOwnAggregator() || !proven || now - *proven > maxPassedProofAge;
 }
--- a/src/fleet/ReaderElection.cpp
+++ b/src/fleet/ReaderElection.cpp
@@ -58,12 +58,22 @@
 
 bool ReaderElection::isReader(std::optional<TimePoint> provenAt, TimePoint now) const
 {
-    return m_isElected || !provenAt || now - *provenAt > m_options.maxProofAge;
+    return m_isElected || isTooOld(provenAt, now);
+}
+
+bool ReaderElection::needsProof(std::optional<TimePoint> ownProvenAt, TimePoint now) const
+{
+    return !m_isElected || isTooOld(ownProvenAt, now);
+}
+
+bool ReaderElection::isTooOld(std::optional<TimePoint> provenAt, TimePoint now) const
+{
+    return !provenAt || now - *provenAt > m_options.maxProofAge;
 }
 
 std::optional<ReaderElection::OutgoingRequest> ReaderElection::nextRequest(TimePoint now, bool isAggregator)
 {
-    if (m_isElected || m_readers.empty() || now < m_nextRequestAt)
+    if (m_readers.empty() || now < m_nextRequestAt)
         return std::nullopt;
     m_nextRequestAt = now + (isAggregator ? m_options.aggregatorRequestInterval : m_options.requestInterval);
     const auto& ip = m_readers[m_nextReader++ % m_readers.size()];
--- a/src/fleet/ReaderElection.h
+++ b/src/fleet/ReaderElection.h
@@ -9,7 +9,8 @@
 
 namespace eelgrassford::fleet {
 
-/// @brief Elects the daemons that read the store, and asks them for freshness proofs if this one does not. No I/O.
+/// @brief Elects the daemons that read the store, and asks them for freshness proofs if this one cannot read it. No
+/// I/O.
 ///
 /// A few elected readers watch the store. Each other daemon asks them in turn when their mirror was last proven
 /// current, and up to which revision. Every daemon computes the election from its own live members, without agreement:
@@ -62,7 +63,11 @@
     bool isReader(std::optional<TimePoint> provenAt, TimePoint now) const;
     /// @brief Whether this daemon is an elected reader, which the others send their requests to.
     bool isElected() const { return m_isElected; }
-    /// @brief The next freshness request, if one is due; the readers take turns.
+    /// @brief Whether this daemon needs the proofs of the readers. An elected one does if its own grow too old, as when
+    /// the store refuses it alone.
+    /// @param ownProvenAt time of its newest freshness proof from the store itself
+    bool needsProof(std::optional<TimePoint> ownProvenAt, TimePoint now) const;
+    /// @brief The next freshness request to another reader, if one is due; the readers take turns.
     /// @param isAggregator whether this daemon passes its proof on to others
     std::optional<OutgoingRequest> nextRequest(TimePoint now, bool isAggregator = false);
     /// @brief Matches a reply to its request.
@@ -73,6 +78,8 @@
     std::optional<ReaderStatus> receive(const FreshnessReply& reply);
 
 private:
+    bool isTooOld(std::optional<TimePoint> provenAt, TimePoint now) const;
+
     struct PendingRequest {
         std::string ip;
         TimePoint sentAt {};
--- a/tests/edge/FleetLinkTest.cpp
+++ b/tests/edge/FleetLinkTest.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-/// A store that is never reached.
-class UnreachableStore : public store::Protocol {
+/// A store without changes.
+class QuietStore : public store::Protocol {
 public:
     std::string listTarget(std::string_view) const override { return "/list"; }
     std::string watchTarget(std::uint64_t, Duration) const override { return "/watch"; }
     tl::expected<store::Page, store::ProtocolError> decodePage(std::string_view) const override
     {
-        return tl::unexpected(store::ProtocolError { "unreachable" });
+        return tl::unexpected(store::ProtocolError { "not listed" });
     }
     tl::expected<store::Changes, store::ProtocolError> decodeChanges(std::string_view) const override
     {
-        return tl::unexpected(store::ProtocolError { "unreachable" });
+        return store::Changes { {}, 10 };
     }
     bool isHistoryLost(std::uint16_t) const override { return false; }
 };
@@ -34,12 +34,13 @@
     return settings;
 }
 
-/// A daemon's link to the fleet, whose mirror was complete before the store refused every query.
+/// A daemon's link to the fleet, with a mirror that is complete.
 struct Daemon {
-    UnreachableStore protocol;
+    QuietStore protocol;
     store::Mirror mirror { protocol, {}, [] { return 0.5; } };
     upstream::CurlClient client;
     edge::FleetLink link;
+    bool isRefusedByStore = false;
 
     Daemon(asio::io_context& context, const std::string& ip, std::uint16_t port, std::uint64_t incarnation)
         : client(context)
@@ -52,30 +53,56 @@
     {
         const auto now = currentTime();
         link.tick(now);
-        if (mirror.nextQuery(now))
+        if (!mirror.nextQuery(now))
+            return;
+        if (isRefusedByStore)
             mirror.handleFailure("status 429", now);
+        else
+            mirror.handleResponse(200, "", now);
     }
 };
 
-}
-
-TEST_CASE("a reader that the store refuses takes the changes that another daemon announces")
-{
+/// Two daemons that know each other, and are readers therefore. The store refuses one of them.
+struct RefusedReader {
     asio::io_context context;
-    const auto port = tests::freePort(context);
-    Daemon refused(context, "127.0.0.2", port, 1);
-    Daemon informed(context, "127.0.0.3", port, 2);
-    const auto runUntil = [&](const std::function<bool()>& isDone) {
+    std::uint16_t port = tests::freePort(context);
+    Daemon refused { context, "127.0.0.2", port, 1 };
+    Daemon informed { context, "127.0.0.3", port, 2 };
+
+    RefusedReader()
+    {
+        refused.isRefusedByStore = true;
+        runUntil([&] { return refused.link.gossip().liveCount(currentTime()) == 1; });
+        REQUIRE(refused.link.isReader(currentTime()));
+    }
+
+    void runUntil(const std::function<bool()>& isDone)
+    {
         tests::runUntil(context, [&] {
             refused.tick();
             informed.tick();
             return isDone();
         });
-    };
-    runUntil([&] { return refused.link.gossip().liveCount(currentTime()) == 1; });
-    REQUIRE(refused.link.isReader(currentTime()));
-    informed.mirror.merge({ 10, 11, { { "key", "new", 11 } }, {}, false }, currentTime());
-    informed.link.announce(currentTime());
-    runUntil([&] { return refused.mirror.completeRevision() == 11; });
-    CHECK(refused.mirror.items().at("key").value == "new");
+    }
+};
+
+}
+
+TEST_CASE("a reader that the store refuses takes the changes that another daemon announces")
+{
+    RefusedReader fleet;
+    fleet.informed.mirror.merge({ 10, 11, { { "key", "new", 11 } }, {}, false }, currentTime());
+    fleet.informed.link.announce(currentTime());
+    fleet.runUntil([&] { return fleet.refused.mirror.completeRevision() == 11; });
+    CHECK(fleet.refused.mirror.items().at("key").value == "new");
+}
+
+TEST_CASE("a reader that the store refuses takes freshness proofs from another reader")
+{
+    RefusedReader fleet;
+    fleet.runUntil([&] { return fleet.refused.link.provenAt().has_value(); });
+    const auto first = *fleet.refused.link.provenAt();
+    fleet.runUntil([&] { return *fleet.refused.link.provenAt() > first; });
+    CHECK_FALSE(fleet.refused.mirror.provenAt());
+    CHECK(*fleet.refused.link.provenAt() <= *fleet.informed.mirror.provenAt());
 }
