Log the prompt parts of a request under which a runner ended

It now names the parts that others may share, and how many events of the response had arrived. No decision uses them.

--- a/src/proxy/PromptIndex.cpp
+++ b/src/proxy/PromptIndex.cpp
@@ -20,6 +20,14 @@
     return result;
 }
 
+std::vector<std::uint64_t> sharedPartDigests(std::string_view model, std::span<const PromptPart> prompt)
+{
+    std::vector<std::uint64_t> result;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        result.push_back(mix64(hash64(model), prompt[i].id));
+    return result;
+}
+
 PromptIndex::PromptIndex(std::size_t capacity)
     : m_capacity(capacity)
 {
--- a/src/proxy/PromptIndex.h
+++ b/src/proxy/PromptIndex.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace eelgrassford::proxy {
 
@@ -25,6 +26,9 @@
 /// @brief Computes the affinity of a prompt; the model is part of both hashes.
 PromptAffinity affinityOf(std::string_view model, std::span<const PromptPart> prompt);
 
+/// @brief Digests of the parts that other requests may share, in order: all but the last. Equal on every daemon.
+std::vector<std::uint64_t> sharedPartDigests(std::string_view model, std::span<const PromptPart> prompt);
+
 /// @brief An LRU map from the hash of a prompt to the runner that served it last.
 ///
 /// The last part of a prompt belongs to a single request or session. The index lets a returning session go to the
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -31,6 +31,14 @@
         return hash64(request.body, hash64(request.target, hash64(metadata.host, hash64(metadata.credential))));
     }
 
+    std::string joinHex(std::span<const std::uint64_t> digests)
+    {
+        std::string result;
+        for (const auto digest : digests)
+            result.append(result.empty() ? "" : ",").append(toHex(digest));
+        return result;
+    }
+
     Duration effectiveTimeout(const routing::Route& route, const RequestMetadata& metadata)
     {
         return std::min(route.timeout, metadata.callerTimeout.value_or(route.timeout));
@@ -162,20 +170,21 @@
     return std::nullopt;
 }
 
-void Router::probeAfterConnectionLoss(const std::string& id, dispatch::RequestDigest request)
+void Router::probeAfterConnectionLoss(const std::string& id, LostRequest request)
 {
     const auto* runner = m_registry.find(id);
     if (!runner)
         return;
-    poolOf(*runner).probe([this, id, request, begunAt = m_clock()](ProbeResult result) {
+    poolOf(*runner).probe([this, id, request = std::move(request), begunAt = m_clock()](ProbeResult result) {
         auto* suspect = m_registry.find(id);
         if (!suspect || !isUnreachable(result, begunAt))
             return;
         const auto time = m_clock();
         m_registry.recordObservation(*suspect, runners::Observation::CannotConnect, time);
-        m_crashes.recordCrash(request, suspect->identity, time);
+        m_crashes.recordCrash(request.digest, suspect->identity, time);
         telemetry::logWarning("runner-dead",
-            { { "runner", id }, { "suspect", toHex(request) }, { "quarantined", m_crashes.isQuarantined(request) } });
+            { { "runner", id }, { "suspect", toHex(request.digest) }, { "prompt_parts", joinHex(request.promptParts) },
+                { "events", request.events }, { "quarantined", m_crashes.isQuarantined(request.digest) } });
     });
 }
 
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -141,8 +141,17 @@
     /// Refuses a request that its service cannot serve in time.
     std::optional<Refusal> refuseIfOverloaded(
         const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now);
-    /// Probes a runner that lost a connection under @a request, and records a crash if the runner is dead.
-    void probeAfterConnectionLoss(const std::string& runner, dispatch::RequestDigest request);
+    /// A request whose connection to its runner broke.
+    struct LostRequest {
+        dispatch::RequestDigest digest = 0;
+        /// See sharedPartDigests().
+        std::vector<std::uint64_t> promptParts;
+        /// Events of the response that had arrived.
+        std::uint64_t events = 0;
+    };
+
+    /// Probes a runner that lost a connection under a request, and records a crash if the runner is dead.
+    void probeAfterConnectionLoss(const std::string& runner, LostRequest request);
     void refuse(gateway::Responder& responder, const RequestMetadata& metadata, const Refusal& refusal);
     /// A random duration from 50 % to 150 % of @a mean.
     Duration withJitter(Duration mean);
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -180,6 +180,7 @@
     std::string text;
     while (const auto event = attempt.events.next()) {
         attempt.lastProgressAt = m_router.now();
+        ++attempt.eventCount;
         // A resumed stream may begin with events that the caller already has.
         if (event->offset && *event->offset <= m_lastEvent)
             continue;
@@ -304,9 +305,11 @@
     const auto now = m_router.now();
     const auto runner = m_attempt->runner;
     const auto elapsed = now - m_attempt->sentAt;
+    const auto events = m_attempt->eventCount;
     endAttempt(observation, now);
     if (observation == Observation::ConnectionLost)
-        m_router.probeAfterConnectionLoss(runner, m_admitted.digest);
+        m_router.probeAfterConnectionLoss(runner,
+            { m_admitted.digest, sharedPartDigests(m_admitted.metadata.model, m_admitted.metadata.prompt), events });
     const auto step = m_plan.fail(failure, m_hasResponseStarted, now, retryBudget(now));
     m_router.m_metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     telemetry::logInfo("attempt-failed",
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -63,6 +63,7 @@
         /// Bytes that the bodies of all attempts hold.
         std::size_t& bufferedBytes;
         upstream::EventStreamParser events;
+        std::uint64_t eventCount = 0;
         TimePoint sentAt {};
         /// Time at which the request was sent, its response began or an event last arrived whole. Other bytes are no
         /// progress: a runner may send some now and then without ever completing an event.
