Quarantine a part of prompts under which runners end, not only whole requests

What callers saw: requests of one route, no two alike, ended one runner after the other (27 to 36 after the fifth), and sound streams at these runners broke off. Cause: a request is known by its caller, path and body, so that each of these was the first of its kind and the threshold of three crashes was never reached. Change: the suspects of a crash are the request and, unless its answer had begun, the parts of its prompt that others share (all but the last). CrashRegistry quarantines a part after three crashes. Daemons of the last release read the new records as before, as far as they know them.

--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -141,7 +141,7 @@
         m_router.updateMetrics(now);
     }
     if (m_stateListener)
-        m_stateListener(m_router.runnerStates(now), m_router.crashRecords());
+        m_stateListener(m_router.runnerStates(now), m_router.crashRecords(now));
     if (m_stopAt && m_onStopped)
         tickStop(now);
 }
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -11,20 +11,49 @@
 
     /// Values for each runner in the flat array of a summary.
     constexpr std::size_t totalFields = 5;
+    /// Age of the last answer of a crash record without one.
+    constexpr std::int64_t neverServed = -1;
+
+    std::int64_t toMillisecondCount(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
 
     json toJson(std::span<const dispatch::CrashRecord> records)
     {
         auto crashes = json::array();
-        for (const auto& record : records)
-            crashes.push_back({ record.request, record.runners });
+        for (const auto& record : records) {
+            std::vector<std::int64_t> ages;
+            for (const auto age : record.crashAges)
+                ages.push_back(toMillisecondCount(age));
+            const auto servedAge = record.servedAge ? toMillisecondCount(*record.servedAge) : neverServed;
+            crashes.push_back(
+                { record.suspect, record.runners, record.position, ages, servedAge, record.isQuarantined });
+        }
         return crashes;
     }
 
+    dispatch::CrashRecord toCrashRecord(const json& fields)
+    {
+        dispatch::CrashRecord record { fields.at(0).get<std::uint64_t>(),
+            fields.at(1).get<std::vector<std::uint64_t>>() };
+        // Daemons of earlier releases know whole requests only.
+        if (fields.size() <= 2)
+            return record;
+        record.position = fields.at(2).get<std::uint32_t>();
+        for (const auto age : fields.at(3).get<std::vector<std::int64_t>>())
+            record.crashAges.push_back(std::chrono::milliseconds(age));
+        if (const auto age = fields.at(4).get<std::int64_t>(); age != neverServed)
+            record.servedAge = std::chrono::milliseconds(age);
+        record.isQuarantined = fields.at(5).get<bool>();
+        return record;
+    }
+
     std::vector<dispatch::CrashRecord> toCrashRecords(const json& array)
     {
         std::vector<dispatch::CrashRecord> result;
-        for (const auto& record : array)
-            result.push_back({ record.at(0).get<std::uint64_t>(), record.at(1).get<std::vector<std::uint64_t>>() });
+        for (const auto& fields : array)
+            result.push_back(toCrashRecord(fields));
         return result;
     }
 
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -31,11 +31,20 @@
         return hash64(request.body, hash64(request.target, hash64(metadata.host, hash64(metadata.credential))));
     }
 
-    std::string joinHex(std::span<const std::uint64_t> digests)
+    /// The request and the parts of its prompt that others may share, which may crash runners.
+    std::vector<dispatch::CrashSuspect> suspectsOf(const gateway::HttpRequest& request, const RequestMetadata& metadata)
+    {
+        std::vector<dispatch::CrashSuspect> result { { digestOf(request, metadata) } };
+        for (const auto part : sharedPartDigests(metadata.model, metadata.prompt))
+            result.push_back({ part, static_cast<std::uint32_t>(result.size() - 1) });
+        return result;
+    }
+
+    std::string joinHex(std::span<const dispatch::CrashSuspect> suspects)
     {
         std::string result;
-        for (const auto digest : digests)
-            result.append(result.empty() ? "" : ",").append(toHex(digest));
+        for (const auto& suspect : suspects)
+            result.append(result.empty() ? "" : ",").append(toHex(suspect.digest));
         return result;
     }
 
@@ -77,9 +86,10 @@
         refuse(*responder, {}, { status::badRequest, "malformed-request", {} });
         return;
     }
-    const auto digest = digestOf(request, *metadata);
+    auto suspects = suspectsOf(request, *metadata);
     auto admission = admit(request, *metadata, now);
-    if (!admission.refusal && m_crashes.isQuarantined(digest))
+    const auto quarantined = m_crashes.findQuarantined(suspects, now);
+    if (!admission.refusal && quarantined)
         admission.refusal = Refusal { status::unavailable, "crashes-runners", retryAfterQuarantine };
     std::string service;
     if (!admission.refusal) {
@@ -91,7 +101,8 @@
             { { "request", metadata->attemptId }, { "reason", admission.refusal->reason },
                 { "status", static_cast<int>(admission.refusal->status) },
                 { "revision", m_routes ? m_routes->revision() : 0 },
-                { "proof_age_ms", m_confirmedAt ? toMilliseconds(now - *m_confirmedAt) : -1.0 } });
+                { "proof_age_ms", m_confirmedAt ? toMilliseconds(now - *m_confirmedAt) : -1.0 },
+                { "suspect", quarantined ? toHex(quarantined->digest) : "" } });
         m_metrics.countOutcome(admission.refusal->reason);
         refuse(*responder, *metadata, *admission.refusal);
         return;
@@ -105,7 +116,7 @@
     admitted.deadline = now + effectiveTimeout(*admitted.route, *metadata);
     admitted.request = std::move(request);
     admitted.metadata = std::move(*metadata);
-    admitted.digest = digest;
+    admitted.suspects = std::move(suspects);
     admitted.priority = admission.priority;
     budgetOf(admitted.service, now).recordFirstAttempt(now);
     std::make_shared<Session>(*this, std::move(admitted), responder)->start();
@@ -170,21 +181,22 @@
     return std::nullopt;
 }
 
-void Router::probeAfterConnectionLoss(const std::string& id, LostRequest request)
+void Router::probeAfterConnectionLoss(const std::string& id, std::vector<dispatch::CrashSuspect> suspects)
 {
     const auto* runner = m_registry.find(id);
     if (!runner)
         return;
-    poolOf(*runner).probe([this, id, request = std::move(request), begunAt = m_clock()](ProbeResult result) {
-        auto* suspect = m_registry.find(id);
-        if (!suspect || !isUnreachable(result, begunAt))
+    poolOf(*runner).probe([this, id, suspects = std::move(suspects), begunAt = m_clock()](ProbeResult result) {
+        auto* dead = m_registry.find(id);
+        if (!dead || !isUnreachable(result, begunAt))
             return;
         const auto time = m_clock();
-        m_registry.recordObservation(*suspect, runners::Observation::CannotConnect, time);
-        m_crashes.recordCrash(request.digest, suspect->identity, time);
+        m_registry.recordObservation(*dead, runners::Observation::CannotConnect, time);
+        m_crashes.recordCrash(suspects, dead->identity, time);
+        const auto quarantined = m_crashes.findQuarantined(suspects, time);
         telemetry::logWarning("runner-dead",
-            { { "runner", id }, { "suspect", toHex(request.digest) }, { "prompt_parts", joinHex(request.promptParts) },
-                { "events", request.events }, { "quarantined", m_crashes.isQuarantined(request.digest) } });
+            { { "runner", id }, { "suspects", joinHex(suspects) },
+                { "quarantined", quarantined ? toHex(quarantined->digest) : "" } });
     });
 }
 
@@ -217,12 +229,7 @@
     }
 }
 
-void Router::mergeCrashRecords(std::span<const dispatch::CrashRecord> records)
-{
-    const auto time = m_clock();
-    for (const auto& record : records)
-        m_crashes.merge(record, time);
-}
+void Router::mergeCrashRecords(std::span<const dispatch::CrashRecord> records) { m_crashes.merge(records, m_clock()); }
 
 void Router::refuse(gateway::Responder& responder, const RequestMetadata& metadata, const Refusal& refusal)
 {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -80,7 +80,7 @@
     /// @brief Load and health of the runners as this daemon sees them, to be sent to the other daemons.
     std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
     /// @brief Requests that crashed runners, to be sent to the other daemons.
-    std::vector<dispatch::CrashRecord> crashRecords() const { return m_crashes.records(); }
+    std::vector<dispatch::CrashRecord> crashRecords(TimePoint now) const { return m_crashes.records(now); }
     /// @brief Replaces what the other daemons report on the load and health of the runners.
     void setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries);
     /// @brief Merges crash records of other daemons.
@@ -141,17 +141,9 @@
     /// Refuses a request that its service cannot serve in time.
     std::optional<Refusal> refuseIfOverloaded(
         const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now);
-    /// A request whose connection to its runner broke.
-    struct LostRequest {
-        dispatch::RequestDigest digest = 0;
-        /// See sharedPartDigests().
-        std::vector<std::uint64_t> promptParts;
-        /// Events of the response that had arrived.
-        std::uint64_t events = 0;
-    };
-
     /// Probes a runner that lost a connection under a request, and records a crash if the runner is dead.
-    void probeAfterConnectionLoss(const std::string& runner, LostRequest request);
+    /// @param suspects the request, and those parts of its prompt that may be the cause
+    void probeAfterConnectionLoss(const std::string& runner, std::vector<dispatch::CrashSuspect> suspects);
     void refuse(gateway::Responder& responder, const RequestMetadata& metadata, const Refusal& refusal);
     /// A random duration from 50 % to 150 % of @a mean.
     Duration withJitter(Duration mean);
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -18,6 +18,10 @@
     /// Tokens of a cached prefix from which fetching it from another runner costs less than recomputing it.
     constexpr std::uint32_t minTokensToFetch = 1024;
 
+    /// Events from which the runner is known to be able to answer a prompt. A runner that crashes on a part of a prompt
+    /// does so as it begins to answer.
+    constexpr std::uint64_t minEventsOfAnswer = 2;
+
     bool isSuccess(std::uint16_t status) { return status / 100 == 2; }
 
     /// Whether callers take a status to mean that the request was not run.
@@ -66,6 +70,14 @@
 void Session::send()
 {
     const auto now = m_router.now();
+    // An earlier attempt may have been the crash by which a part of the prompt was found out.
+    if (m_plan.attempts() > 0 && m_router.m_crashes.findQuarantined(m_admitted.suspects, now)) {
+        execute(m_hasResponseStarted  ? RelayStep::Abort
+                : m_plan.mayHaveRun() ? RelayStep::FailUnknown
+                                      : RelayStep::RefuseNotRun,
+            "it crashes runners");
+        return;
+    }
     runners::PlacementRequest request;
     request.service = m_admitted.service;
     request.affinityKey = m_affinity.prefixHash;
@@ -180,7 +192,8 @@
     std::string text;
     while (const auto event = attempt.events.next()) {
         attempt.lastProgressAt = m_router.now();
-        ++attempt.eventCount;
+        if (++attempt.eventCount == minEventsOfAnswer)
+            m_router.m_crashes.recordServed(std::span(m_admitted.suspects).subspan(1), attempt.lastProgressAt);
         // A resumed stream may begin with events that the caller already has.
         if (event->offset && *event->offset <= m_lastEvent)
             continue;
@@ -198,6 +211,14 @@
     m_responder->write(std::move(text));
 }
 
+std::vector<dispatch::CrashSuspect> Session::crashSuspects() const
+{
+    auto result = m_admitted.suspects;
+    if (m_attempt->eventCount >= minEventsOfAnswer)
+        result.resize(1);
+    return result;
+}
+
 void Session::onEnded(const upstream::ExchangeResult& result)
 {
     if (m_isFinished || !m_attempt)
@@ -305,11 +326,10 @@
     const auto now = m_router.now();
     const auto runner = m_attempt->runner;
     const auto elapsed = now - m_attempt->sentAt;
-    const auto events = m_attempt->eventCount;
+    auto suspects = crashSuspects();
     endAttempt(observation, now);
     if (observation == Observation::ConnectionLost)
-        m_router.probeAfterConnectionLoss(runner,
-            { m_admitted.digest, sharedPartDigests(m_admitted.metadata.model, m_admitted.metadata.prompt), events });
+        m_router.probeAfterConnectionLoss(runner, std::move(suspects));
     const auto step = m_plan.fail(failure, m_hasResponseStarted, now, retryBudget(now));
     m_router.m_metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     telemetry::logInfo("attempt-failed",
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -20,8 +20,9 @@
         std::string organisation;
         /// 0 is the most urgent.
         std::uint32_t priority = 0;
-        /// Digest of credential, host, target and body; the same on every daemon.
-        dispatch::RequestDigest digest = 0;
+        /// The request itself, by its credential, host, target and body, and the parts of its prompt that other
+        /// requests may share.
+        std::vector<dispatch::CrashSuspect> suspects;
         TimePoint arrivedAt {};
         TimePoint deadline {};
     };
@@ -81,6 +82,8 @@
     bool hasRoomFor(std::size_t bytes) const;
     void onEnded(const upstream::ExchangeResult& result);
     void relayEvents();
+    /// What may have caused the crash of the current attempt's runner, if it crashed.
+    std::vector<dispatch::CrashSuspect> crashSuspects() const;
     void relayWhole();
     void finishStream();
     /// Records that the first byte of the response goes to the caller.
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -39,7 +39,7 @@
     if (!m_firstByteAt && elapsed > m_admitted.route->latencyObjective)
         m_router.m_overload.recordFirstByte(m_admitted.service, true, now);
     if (outcome == "answered")
-        m_router.m_crashes.recordServed(m_admitted.digest);
+        m_router.m_crashes.recordServed(m_admitted.suspects, now);
     log(outcome, status, detail, now);
     m_responder.reset();
 }
--- a/tests/proxy/CrashingPromptPartTest.cpp
+++ b/tests/proxy/CrashingPromptPartTest.cpp
@@ -28,7 +28,8 @@
     void call(const std::string& sharedParts)
     {
         fixture.clockOffset += std::chrono::seconds(1);
-        fixture.call("POST", "/once/" + std::to_string(++requests),
+        ++requests;
+        fixture.call("POST", "/once/" + std::to_string(requests),
             "X-Model: m\r\nX-Prompt-Prefix: " + sharedParts + "," + std::to_string(1000 + requests) + ":100\r\n");
     }
 
@@ -54,10 +55,10 @@
         auto* connection = awaitRequest();
         if (!connection)
             return false;
-        const auto known = fixture.router.crashRecords().size();
+        const auto known = fixture.router.crashRecords(daemon::currentTime()).size();
         runner->stop();
         connection->reset();
-        runUntil(fixture.context, [&] { return fixture.router.crashRecords().size() > known; });
+        runUntil(fixture.context, [&] { return fixture.router.crashRecords(daemon::currentTime()).size() > known; });
         fixture.awaitAnswer("\r\n\r\n");
         replaceRunner();
         return true;
@@ -90,3 +91,22 @@
     CHECK(service.serve("aa:100,cc:500"));
     CHECK(service.serve("dd:100"));
 }
+
+TEST_CASE("a request whose part is found out while it runs is not sent to another runner when it is lost")
+{
+    CrashingService service;
+    service.fixture.clockOffset += std::chrono::seconds(1);
+    service.requests = 1;
+    service.fixture.call("POST", "/stream/once/1", "X-Model: m\r\nX-Prompt-Prefix: aa:100,bb:500,1001:100\r\n");
+    auto* connection = service.awaitRequest();
+    REQUIRE(connection);
+    const std::vector<proxy::PromptPart> prompt { { 0xaa, 100 }, { 0xbb, 500 }, { 0x1001, 100 } };
+    dispatch::CrashRecord record { proxy::sharedPartDigests("m", prompt).at(1), { 1, 2, 3 }, 1 };
+    record.isQuarantined = true;
+    service.fixture.router.mergeCrashRecords(std::vector { record });
+    service.replaceRunner();
+    connection->reset();
+    service.fixture.awaitAnswer("\r\n\r\n");
+    CHECK(service.fixture.caller->received.starts_with("HTTP/1.1 502"));
+    CHECK(service.runner->peers.empty());
+}
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -316,8 +316,8 @@
     fixture.secondRunner.stop();
     runner.reset();
     fixture.awaitAnswer("\r\n\r\n");
-    runUntil(fixture.context, [&] { return !fixture.router.crashRecords().empty(); });
-    auto record = fixture.router.crashRecords().front();
+    runUntil(fixture.context, [&] { return !fixture.router.crashRecords(daemon::currentTime()).empty(); });
+    auto record = fixture.router.crashRecords(daemon::currentTime()).front();
     CHECK(record.runners.size() == 1);
     record.runners = { 1, 2, 3 };
     fixture.router.mergeCrashRecords(std::vector { record });
