Do not take a stream without length and without events for a complete one

A runner that ends as it begins such a stream closes the connection too: the caller got 200 and an empty stream that looked complete, and the parts of its prompt counted as answered. Change: a stream that is delimited by its connection and brought no event at all has broken off (unless it resumes one). One that ends after whole events is complete, as before; one that ends within an event was broken off already.

--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -287,6 +287,11 @@
         fail(AttemptFailure::Broken, Observation::Failed, "the stream ended within an event");
         return;
     }
+    // Only the end of the connection says that such a stream is complete, and a runner that crashes closes it too.
+    if (m_attempt->head.isEndedByClose && m_lastEvent == 0 && m_attempt->eventCount == 0) {
+        fail(AttemptFailure::Broken, Observation::ConnectionLost, "the stream ended without an event");
+        return;
+    }
     if (!m_hasResponseStarted)
         m_responder->begin(m_attempt->head.status, m_router.m_codec.encodeResponse(m_attempt->head.headers));
     if (m_affinity.promptHash != 0)
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -327,3 +327,28 @@
     CHECK(fixture.caller->has("crashes-runners"));
     CHECK(fixture.requestCount() == 1);
 }
+
+TEST_CASE("a stream that ends with its connection before the first event is not complete")
+{
+    Fixture fixture;
+    fixture.call("POST", "/once/1");
+    auto& runner = fixture.awaitRequest(1);
+    runner.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\n\r\n");
+    runner.close();
+    fixture.awaitAnswer("\r\n\r\n");
+    CHECK(fixture.caller->received.starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("a stream that ends with its connection after its events is complete")
+{
+    Fixture fixture;
+    fixture.call("POST", "/once/1");
+    auto& runner = fixture.awaitRequest(1);
+    runner.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\n\r\n"
+        + event(1));
+    runner.close();
+    fixture.awaitAnswer("\r\n0\r\n\r\n");
+    CHECK(fixture.caller->has("data: e1"));
+}
