--- /dev/null
+++ b/src/proxy/SessionTimeouts.cpp
@@ -0,0 +1,95 @@
+#include "proxy/Session.h"
+
+#include "proxy/Status.h"
+#include "telemetry/DecisionLog.h"
+
+namespace eelgrassford::proxy {
+
+using dispatch::RelayStep;
+using runners::Observation;
+
+namespace {
+
+    /// Time that must remain before the deadline for the current attempt to be given up in favour of another one.
+    constexpr Duration minTimeForAttempt = std::chrono::milliseconds(100);
+
+}
+
+std::optional<TimePoint> Session::attemptTimeoutAt() const
+{
+    if (!m_attempt || m_attempt->isSilenceReported)
+        return std::nullopt;
+    if (m_hasResponseStarted)
+        return m_attempt->lastProgressAt + streamIdleTimeout(*m_admitted.route, m_router.m_options);
+    const auto timeout = toSeconds(m_admitted.route->latencyObjective) * m_router.m_options.attemptTimeoutFactor;
+    const auto total = toSeconds(m_admitted.deadline - m_admitted.arrivedAt);
+    return m_attempt->sentAt + fromSeconds(std::min(timeout, total * m_router.m_options.attemptTimeoutShare));
+}
+
+void Session::armTimer()
+{
+    const auto now = m_router.now();
+    auto at = m_admitted.deadline;
+    const auto timeoutAt = attemptTimeoutAt();
+    if (timeoutAt && *timeoutAt > now)
+        at = std::min(at, *timeoutAt);
+    m_timer.expires_after(std::max<Duration>(at - now, Duration::zero()));
+    m_timer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->onTimer();
+    });
+}
+
+bool Session::shouldTryElsewhere(TimePoint now) const
+{
+    const auto timeoutAt = attemptTimeoutAt();
+    return timeoutAt && now >= *timeoutAt && m_admitted.deadline - now >= minTimeForAttempt;
+}
+
+void Session::onTimer()
+{
+    const auto now = m_router.now();
+    if (now >= m_admitted.deadline) {
+        const bool wasSent = m_attempt != nullptr || m_plan.mayHaveRun();
+        if (m_attempt) {
+            upstream::ConnectionPool::cancel(m_attempt->handle);
+            endAttempt(m_hasResponseStarted ? Observation::None : Observation::Silent, now);
+        }
+        if (m_hasResponseStarted)
+            execute(RelayStep::Abort, "the time is over");
+        else if (wasSent)
+            answerOutcomeUnknown(status::gatewayTimeout, "the time is over");
+        else
+            answerNotRun("the time is over");
+        return;
+    }
+    if (shouldTryElsewhere(now) && m_plan.tryAbandonAttempt(m_hasResponseStarted, now, retryBudget(now))) {
+        const auto runner = m_attempt->runner;
+        upstream::ConnectionPool::cancel(m_attempt->handle);
+        endAttempt(Observation::Silent, now);
+        telemetry::logInfo("attempt-left",
+            { { "request", m_admitted.metadata.attemptId }, { "runner", runner }, { "last_event", m_lastEvent } });
+        execute(m_hasResponseStarted ? RelayStep::SendRest : RelayStep::SendAgain, "the runner is silent");
+        return;
+    }
+    if (shouldTryElsewhere(now))
+        reportSilence(now);
+    armTimer();
+}
+
+void Session::reportSilence(TimePoint now)
+{
+    // This request keeps waiting because it may not run elsewhere, but new requests should avoid the silent runner.
+    m_attempt->isSilenceReported = true;
+    auto* runner = m_router.m_registry.find(m_attempt->runner);
+    if (!runner)
+        return;
+    const bool isSuspended = m_router.m_registry.recordObservation(*runner, Observation::Silent, now);
+    telemetry::logInfo("runner-silent",
+        { { "request", m_admitted.metadata.attemptId }, { "runner", m_attempt->runner },
+            { "silence_ms", toMilliseconds(now - m_attempt->lastProgressAt) },
+            { "failure_rate", runner->failureRate() }, { "suspended", isSuspended } });
+}
+
+}
