Tell crash records of prompt parts apart from those of whole requests

Daemons of the last release would have taken the record of a part for one of a whole request, and passed it on without its age and position: a daemon that starts during an update would have quarantined the common beginning of all prompts, and told the others so. Parts now have a field of their own at the end of the messages, which earlier releases skip. Only crashes since the last answer are told, as before when an answered request lost its record; without that, other daemons would count them.

--- a/src/dispatch/CrashRegistry.cpp
+++ b/src/dispatch/CrashRegistry.cpp
@@ -121,11 +121,8 @@
 CrashRegistry::Record& CrashRegistry::recordOf(const CrashSuspect& suspect, TimePoint now)
 {
     const auto found = m_records.find(suspect.digest);
-    if (found != m_records.end()) {
-        // Daemons of earlier releases pass a record on without its position.
-        found->second.position = std::min(found->second.position, suspect.position);
+    if (found != m_records.end())
         return found->second;
-    }
     if (m_records.size() >= m_options.maxRecords)
         evictOldest();
     auto& record = m_records[suspect.digest];
@@ -250,6 +247,8 @@
 {
     CrashRecord result { suspect, {}, record.position };
     for (const auto& [runner, crashedAt] : record.crashes) {
+        if (!record.isCounted(crashedAt))
+            continue;
         result.runners.push_back(runner);
         result.crashAges.push_back(now - crashedAt);
     }
--- a/src/dispatch/CrashRegistry.h
+++ b/src/dispatch/CrashRegistry.h
@@ -27,7 +27,7 @@
 /// @brief A suspect with the distinct runners that crashed under it, as one daemon tells another.
 struct CrashRecord {
     RequestDigest suspect = 0;
-    /// Identities of the runners, equal on every daemon.
+    /// Identities of the runners that crashed since the suspect was last answered; equal on every daemon.
     std::vector<std::uint64_t> runners;
     /// See CrashSuspect::position.
     std::uint32_t position = CrashSuspect::wholeRequest;
@@ -48,10 +48,10 @@
 /// Load patterns: one request that is repeated; many requests, no two alike, that have one part of their prompts in
 /// common, beside sound requests that share their other parts. Each crash has several suspects, most of them innocent:
 /// - An answer to a request clears it and its parts of all crashes before.
-/// - A suspect with more crashes is likelier, and of those with as many the one that fewer requests share: a part
-/// rather
-///   than the common beginning of the prompts that contain it. Crashes under a suspect that is quarantined are
-///   explained by it, and do not count against less likely ones.
+/// - A suspect with more crashes is likelier. Of those with nearly as many it is the one that fewer requests share,
+/// such
+///   as a part, and not the common beginning of the prompts that contain it.
+/// - Crashes under a suspect that is quarantined are explained by it, and do not count against less likely ones.
 /// - Of crashes at about the same time only one counts against a part: several runners may fail together.
 class CrashRegistry {
 public:
@@ -70,10 +70,10 @@
         /// The same for a part that was quarantined while no prompt at all was answered: every runner may have been
         /// failing.
         Duration provisionalRetention = std::chrono::seconds(20);
-        /// Largest number of records sent to other daemons: first those in quarantine, then those that changed lately,
-        /// by their crashes, then the newest.
+        /// Largest number of records sent to other daemons: first those in quarantine, then those that changed
+        /// recently, by their crashes, then the newest.
         std::size_t maxSharedRecords = 32;
-        /// Time for which a change counts as late.
+        /// Time for which a change counts as recent.
         Duration sharingTime = std::chrono::seconds(5);
         /// Largest number of records that are kept; each takes a few hundred bytes.
         std::size_t maxRecords = 2048;
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -19,28 +19,43 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
-    json toJson(std::span<const dispatch::CrashRecord> records)
+    bool isOfWholeRequest(const dispatch::CrashRecord& record)
     {
-        auto crashes = json::array();
+        return record.position == dispatch::CrashSuspect::wholeRequest;
+    }
+
+    json requestsToJson(std::span<const dispatch::CrashRecord> records)
+    {
+        auto result = json::array();
+        for (const auto& record : records) {
+            if (isOfWholeRequest(record))
+                result.push_back({ record.suspect, record.runners });
+        }
+        return result;
+    }
+
+    /// Parts of prompts are apart from requests: daemons of earlier releases would take them for requests and pass them
+    /// on as such.
+    json promptPartsToJson(std::span<const dispatch::CrashRecord> records)
+    {
+        auto result = json::array();
         for (const auto& record : records) {
+            if (isOfWholeRequest(record))
+                continue;
             std::vector<std::int64_t> ages;
             for (const auto age : record.crashAges)
                 ages.push_back(toMillisecondCount(age));
             const auto servedAge = record.servedAge ? toMillisecondCount(*record.servedAge) : neverServed;
-            crashes.push_back(
+            result.push_back(
                 { record.suspect, record.runners, record.position, ages, servedAge, record.isQuarantined });
         }
-        return crashes;
+        return result;
     }
 
-    dispatch::CrashRecord toCrashRecord(const json& fields)
+    dispatch::CrashRecord toPromptPart(const json& fields)
     {
         dispatch::CrashRecord record { fields.at(0).get<std::uint64_t>(),
-            fields.at(1).get<std::vector<std::uint64_t>>() };
-        // Daemons of earlier releases know whole requests only.
-        if (fields.size() <= 2)
-            return record;
-        record.position = fields.at(2).get<std::uint32_t>();
+            fields.at(1).get<std::vector<std::uint64_t>>(), fields.at(2).get<std::uint32_t>() };
         for (const auto age : fields.at(3).get<std::vector<std::int64_t>>())
             record.crashAges.push_back(std::chrono::milliseconds(age));
         if (const auto age = fields.at(4).get<std::int64_t>(); age != neverServed)
@@ -49,11 +64,17 @@
         return record;
     }
 
-    std::vector<dispatch::CrashRecord> toCrashRecords(const json& array)
+    /// @param promptPartsIndex index of the parts of prompts, which daemons of earlier releases do not send
+    std::vector<dispatch::CrashRecord> toCrashRecords(
+        const json& fields, std::size_t requestsIndex, std::size_t promptPartsIndex)
     {
         std::vector<dispatch::CrashRecord> result;
-        for (const auto& fields : array)
-            result.push_back(toCrashRecord(fields));
+        for (const auto& record : fields.at(requestsIndex))
+            result.push_back({ record.at(0).get<std::uint64_t>(), record.at(1).get<std::vector<std::uint64_t>>() });
+        if (fields.size() <= promptPartsIndex)
+            return result;
+        for (const auto& record : fields.at(promptPartsIndex))
+            result.push_back(toPromptPart(record));
         return result;
     }
 
@@ -64,7 +85,8 @@
             runners.push_back(
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
-            runners, toJson(digest.crashes), digest.isLeaving, digest.aggregator };
+            runners, requestsToJson(digest.crashes), digest.isLeaving, digest.aggregator,
+            promptPartsToJson(digest.crashes) };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -83,7 +105,7 @@
         for (const auto& state : fields.at(6))
             digest.runners.push_back({ state.at(0).get<RunnerKey>(), state.at(1).get<std::uint32_t>(),
                 state.at(2).get<std::uint32_t>(), state.at(3).get<std::uint32_t>(), state.at(4).get<std::uint32_t>() });
-        digest.crashes = toCrashRecords(fields.at(7));
+        digest.crashes = toCrashRecords(fields, 7, 10);
         digest.isLeaving = fields.at(8).get<bool>();
         // Daemons of earlier releases do not send it.
         if (fields.size() > 9)
@@ -110,7 +132,7 @@
         const auto values = fields.at(9).get<std::vector<std::uint32_t>>();
         for (std::size_t i = 0; i + totalFields <= values.size(); i += totalFields)
             summary.runners.push_back({ values[i], values[i + 1], values[i + 2], values[i + 3], values[i + 4] });
-        summary.crashes = toCrashRecords(fields.at(10));
+        summary.crashes = toCrashRecords(fields, 10, 12);
         summary.isLeaving = fields.at(11).get<bool>();
         return summary;
     }
@@ -136,7 +158,7 @@
     std::string bytes;
     json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
                       summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
-                      values, toJson(summary.crashes), summary.isLeaving },
+                      values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes) },
         bytes);
     return bytes;
 }
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -141,30 +141,32 @@
     CHECK_FALSE(fleet::decode("\x82\x09\x80"));
 }
 
-TEST_CASE("crash records keep the ages of crashes and answers, and those of earlier releases are of whole requests")
+TEST_CASE("crash records of parts keep ages and verdict, and are apart from those of whole requests")
 {
     auto original = digest("10.0.0.2", 5, 1);
-    original.crashes = { { 3, { 1, 2 }, 1, { milliseconds(250), milliseconds(900) }, milliseconds(40), true },
-        { 4, { 5 }, 0, { milliseconds(7) } } };
+    original.crashes
+        = { { 9, { 1, 2 } }, { 3, { 1, 2 }, 1, { milliseconds(250), milliseconds(900) }, milliseconds(40), true },
+              { 4, { 5 }, 0, { milliseconds(7) } } };
     const auto decoded = fleet::decode(fleet::encode(original));
     REQUIRE(decoded);
     const auto& crashes = std::get<Digest>(*decoded).crashes;
-    REQUIRE(crashes.size() == 2);
-    CHECK(crashes[0].position == 1);
-    CHECK(crashes[0].crashAges == original.crashes[0].crashAges);
-    CHECK(crashes[0].servedAge == original.crashes[0].servedAge);
-    CHECK(crashes[0].isQuarantined);
-    CHECK_FALSE(crashes[1].servedAge);
-    CHECK_FALSE(crashes[1].isQuarantined);
-
+    REQUIRE(crashes.size() == 3);
+    CHECK(crashes[0].suspect == 9);
+    CHECK(crashes[0].position == dispatch::CrashSuspect::wholeRequest);
+    CHECK(crashes[1].position == 1);
+    CHECK(crashes[1].crashAges == original.crashes[1].crashAges);
+    CHECK(crashes[1].servedAge == original.crashes[1].servedAge);
+    CHECK(crashes[1].isQuarantined);
+    CHECK_FALSE(crashes[2].servedAge);
+    CHECK_FALSE(crashes[2].isQuarantined);
+
+    // Daemons of earlier releases read and pass on only the records of whole requests.
     auto message = nlohmann::json::from_cbor(fleet::encode(original));
-    for (auto& record : message.at(1).at(7))
-        record = { record.at(0), record.at(1) };
+    CHECK(message.at(1).at(7) == nlohmann::json::array({ { 9, { 1, 2 } } }));
+    message.at(1).erase(10);
     std::string earlier;
     nlohmann::json::to_cbor(message, earlier);
     const auto fromEarlier = fleet::decode(earlier);
     REQUIRE(fromEarlier);
-    const auto& record = std::get<Digest>(*fromEarlier).crashes.at(0);
-    CHECK(record.runners == std::vector<std::uint64_t> { 1, 2 });
-    CHECK(record.position == dispatch::CrashSuspect::wholeRequest);
+    CHECK(std::get<Digest>(*fromEarlier).crashes.size() == 1);
 }
