--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -139,6 +139,7 @@
     if (now >= m_nextMetricsAt) {
         m_nextMetricsAt = now + metricsInterval;
         m_router.updateMetrics(now);
+        m_router.logLimitUse();
     }
     if (m_stateListener)
         m_stateListener(m_router.runnerStates(now), m_router.crashRecords(now));
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -68,6 +68,8 @@
     bool isEncoded = false;
     /// Load that the runner reports.
     std::optional<runners::ReportedLoad> load;
+    /// Requests per second that the runner accepts from all daemons together; empty if it states no limit.
+    std::optional<double> rateLimit;
 };
 
 /// @brief Reason why a request cannot be decoded.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -324,6 +324,16 @@
     }
 }
 
+void Router::logLimitUse()
+{
+    for (const auto& [id, runner] : m_registry.runners()) {
+        const auto sent = std::exchange(runner->sentWhileLimited, 0);
+        if (sent > 0 && runner->limit.perSecond)
+            telemetry::logInfo(
+                "runner-limit-use", { { "runner", id }, { "per_second", *runner->limit.perSecond }, { "sent", sent } });
+    }
+}
+
 bool Router::isUnreachable(ProbeResult result, TimePoint begunAt) const
 {
     // If no runner was heard from since the probe began, the missing answer may be due to this host's own link.
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -96,6 +96,8 @@
     /// @brief Probes runners that are silent with requests in flight. Requests at an unreachable one fail at once
     /// instead of waiting for their timeouts.
     void probeSilentRunners();
+    /// @brief Logs how many requests this daemon sent to each runner that limits its rate; call every few seconds.
+    void logLimitUse();
     /// @brief Updates the gauges of this thread.
     void updateMetrics(TimePoint now);
 
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -20,6 +20,9 @@
     /// does so as it begins to answer.
     constexpr std::uint64_t minEventsOfAnswer = 2;
 
+    /// Logged in place of a rate that is not limited.
+    constexpr double noLimit = -1.0;
+
     bool isSuccess(std::uint16_t status) { return status / 100 == 2; }
 
     /// Whether callers take a status to mean that the request was not run.
@@ -150,10 +153,23 @@
         m_router.m_registry.recordReceived(*runner, attempt.lastProgressAt);
     if (runner && attempt.metadata.load)
         m_router.m_registry.recordReportedLoad(*runner, *attempt.metadata.load, attempt.lastProgressAt);
+    if (runner && !attempt.metadata.isMisdirected)
+        recordLimit(*runner);
     attempt.isStreaming = m_admitted.route->kind == routing::RequestKind::Stream && isSuccess(head.status)
         && attempt.metadata.hasDigest && !attempt.metadata.isEncoded && !attempt.metadata.hasNotRun;
 }
 
+void Session::recordLimit(runners::Runner& runner) const
+{
+    const auto before = runner.limit.perSecond;
+    const auto after = m_attempt->metadata.rateLimit;
+    if (!m_router.m_registry.recordLimit(runner, after, m_attempt->sentAt, m_router.now()))
+        return;
+    telemetry::logInfo("runner-limit",
+        { { "runner", m_attempt->runner }, { "request", m_admitted.metadata.attemptId },
+            { "per_second", after.value_or(noLimit) }, { "before", before.value_or(noLimit) } });
+}
+
 void Session::onBytes(std::string_view bytes)
 {
     auto& attempt = *m_attempt;
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -76,6 +76,8 @@
     /// The request as HTTP/1.1 bytes for a runner.
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
+    /// Records whether the response of the current attempt limits the rate of requests to its runner.
+    void recordLimit(runners::Runner& runner) const;
     void onBytes(std::string_view bytes);
     /// Gives up the current attempt because of what its runner sent.
     void failMalformed(std::string_view detail);
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -15,6 +15,14 @@
             && left.startedAtMs == right.startedAtMs;
     }
 
+    bool isNoticeableChange(std::optional<double> before, std::optional<double> after)
+    {
+        constexpr double noticeableShare = 0.1;
+        if (!before || !after)
+            return before.has_value() != after.has_value();
+        return std::abs(*after - *before) > noticeableShare * *before;
+    }
+
 }
 
 Registry::Registry(const RegistryOptions& options)
@@ -100,6 +108,7 @@
 {
     if (runner.ownLoad++ == 0)
         runner.lastActivityAt = now;
+    runner.sentWhileLimited += runner.limit.perSecond ? 1 : 0;
 }
 
 void Registry::recordReceived(Runner& runner, TimePoint now)
@@ -193,6 +202,15 @@
     runner.ownLoadAtReport = runner.ownLoad;
 }
 
+bool Registry::recordLimit(Runner& runner, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
+{
+    if (!perSecond && (!runner.limit.perSecond || sentAt <= runner.limit.statedAt))
+        return false;
+    const bool hasChanged = isNoticeableChange(runner.limit.perSecond, perSecond);
+    runner.limit = { perSecond, now };
+    return hasChanged;
+}
+
 bool Registry::suspendForConnectionFailures(Runner& runner, TimePoint now)
 {
     if (!suspend(runner, runner.nextSuspension, now))
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -86,6 +86,11 @@
     bool recordObservation(Runner& runner, Observation observation, TimePoint now);
     /// @brief Records the load that a runner reported in a response.
     void recordReportedLoad(Runner& runner, const ReportedLoad& load, TimePoint now);
+    /// @brief Records whether a response of a runner states a limit of its request rate. A response without one ends
+    /// the limit only if its request was sent after the limit was last stated, since responses may overtake each other.
+    /// @param sentAt time at which the request was sent
+    /// @return whether the limit began, ended or changed noticeably
+    bool recordLimit(Runner& runner, std::optional<double> perSecond, TimePoint sentAt, TimePoint now);
     /// @brief Reports of all other daemons about a runner, summed up.
     struct PeerSummary {
         /// Their requests in flight to the runner.
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Time.h"
+#include "runners/StatedLimit.h"
 #include <cstdint>
 #include <string>
 
@@ -67,6 +68,10 @@
     TimePoint reportedAt {};
     /// Value of ownLoad when the runner reported its load.
     std::uint32_t ownLoadAtReport = 0;
+    /// Newest known statement of the request rate that it accepts.
+    StatedLimit limit;
+    /// Requests that this daemon sent to it while its rate was limited, since they were last logged.
+    std::uint32_t sentWhileLimited = 0;
 
     /// Lost and failed connections since the last request that it served or failed.
     std::uint32_t consecutiveConnectionFailures = 0;
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -123,3 +123,16 @@
     CHECK(metadata.isEncoded);
     CHECK_FALSE(metadata.load);
 }
+
+TEST_CASE("the request rate that a runner accepts is decoded; anything but a number is no limit")
+{
+    http::MessageHead head;
+    head.status = 200;
+    CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).rateLimit);
+    head.headers = { { "Server-Limit", "3.4" } };
+    CHECK(platform::HeaderCodec().decodeResponse(head).rateLimit == 3.4);
+    for (const char* text : { "", "x", "-1", "3.4x", "inf", "nan" }) {
+        head.headers = { { "Server-Limit", text } };
+        CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).rateLimit);
+    }
+}
--- a/tests/runners/RegistryTest.cpp
+++ b/tests/runners/RegistryTest.cpp
@@ -127,6 +127,18 @@
     CHECK(usable == 2);
 }
 
+TEST_CASE("a limit that a runner stated holds until the response to a later request no longer states it")
+{
+    Fixture fixture;
+    auto& runner = fixture.runner("r-1");
+    CHECK(fixture.registry.recordLimit(runner, 3.4, start, start + milliseconds(50)));
+    CHECK_FALSE(fixture.registry.recordLimit(runner, 3.5, start, start + milliseconds(60)));
+    CHECK_FALSE(fixture.registry.recordLimit(runner, {}, start + milliseconds(55), start + milliseconds(70)));
+    CHECK(runner.limit.perSecond == 3.5);
+    CHECK(fixture.registry.recordLimit(runner, {}, start + milliseconds(65), start + milliseconds(80)));
+    CHECK_FALSE(runner.limit.perSecond);
+}
+
 TEST_CASE("a runner is avoided when two peers suspend it, not when one does")
 {
     Fixture fixture;
