Share the request rate that a runner states among the daemons

Cause: no decision used the stated limit. Class of fault: feedback of an upstream that is passed on and not obeyed. Evidence: runner-limit and runner-limit-use on the unchanged decisions; none of the requests was a repeat.

Each daemon now has a token bucket for its share of each limit. Limits spread with the digests and summaries, and hold until the response to a later request no longer states them. Placement passes over runners whose share is used up; a request waits an eighth of its objective for one, and is refused at once if that is not enough.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -59,13 +59,12 @@
     , m_fleet(m_context, settings, m_random(), m_mirror, m_client,
           [this] { return std::uniform_real_distribution<double>()(m_random); },
           { [this] { publish(); },
-              [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); } })
+              [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); },
+              [this](std::vector<fleet::RunnerLimit> limits) { m_traffic.mergeLimits(std::move(limits)); } })
     , m_lastTick(currentTime())
 {
-    m_traffic.setStateListener([this](auto states, auto crashes) {
-        asio::post(m_context, [this, states = std::move(states), crashes = std::move(crashes)]() mutable {
-            m_fleet.setStates(std::move(states), std::move(crashes));
-        });
+    m_traffic.setReportListener([this](proxy::RunnerReport report) {
+        asio::post(m_context, [this, report = std::move(report)]() mutable { m_fleet.setReport(std::move(report)); });
     });
 }
 
@@ -98,6 +97,10 @@
         publish();
     m_fleet.tick(now);
     m_traffic.setPeerSummaries(m_fleet.gossip().summarize(now));
+    if (auto others = m_fleet.gossip().presentIps(now); others != m_otherIps) {
+        m_otherIps = others;
+        m_traffic.setFleet(std::move(others));
+    }
     updateFreshness(now);
     if (const auto next = m_mirror.nextQuery(now))
         query(*next);
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -105,12 +105,6 @@
     return own;
 }
 
-void FleetLink::setStates(std::vector<fleet::RunnerState> states, std::vector<dispatch::CrashRecord> crashes)
-{
-    m_states = std::move(states);
-    m_crashes = std::move(crashes);
-}
-
 void FleetLink::announce(TimePoint now)
 {
     m_gossip.expedite(now);
@@ -130,7 +124,7 @@
 
 fleet::LocalState FleetLink::localState() const
 {
-    return { m_states, m_crashes, m_mirror.changeRevision(), provenAt() };
+    return { m_report.states, m_report.crashes, m_report.limits, m_mirror.changeRevision(), provenAt() };
 }
 
 void FleetLink::send(const std::vector<fleet::Gossip::Outgoing>& outgoing)
@@ -169,6 +163,8 @@
     adoptProof(news->changeRevision, news->provenAt);
     if (!news->crashes.empty())
         m_events.crashRecordsReceived(news->crashes);
+    if (!news->limits.empty())
+        m_events.limitsReceived(news->limits);
 }
 
 void FleetLink::onReply(const fleet::FreshnessReply& reply, TimePoint now)
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -7,6 +7,7 @@
 #include "fleet/MissedChanges.h"
 #include "fleet/ReaderElection.h"
 #include "gateway/HttpServer.h"
+#include "proxy/RunnerReport.h"
 #include "store/Mirror.h"
 #include "upstream/CurlClient.h"
 
@@ -20,6 +21,8 @@
         std::function<void()> mirrorChanged;
         /// Another daemon sent crash records in a digest.
         std::function<void(std::vector<dispatch::CrashRecord>)> crashRecordsReceived;
+        /// Another daemon sent limits of runners.
+        std::function<void(std::vector<fleet::RunnerLimit>)> limitsReceived;
     };
 
     /// @param random returns uniform numbers in [0, 1)
@@ -28,8 +31,8 @@
 
     /// @brief Sends what is due and updates whether this daemon reads the store.
     void tick(TimePoint now);
-    /// @brief Sets the runner states and crash records that the digests of this daemon carry.
-    void setStates(std::vector<fleet::RunnerState> states, std::vector<dispatch::CrashRecord> crashes);
+    /// @brief Sets what the messages of this daemon say about runners.
+    void setReport(proxy::RunnerReport report) { m_report = std::move(report); }
     /// @brief Tells the other daemons of changes at once; called after the store returned them.
     void announce(TimePoint now);
     /// @brief Tells the other daemons that this one is leaving.
@@ -77,8 +80,7 @@
     gateway::HttpServer m_server;
     fleet::ByteBudget m_changesBudget;
     std::uint64_t m_fetchCount = 0;
-    std::vector<fleet::RunnerState> m_states;
-    std::vector<dispatch::CrashRecord> m_crashes;
+    proxy::RunnerReport m_report;
     std::optional<TimePoint> m_peerProvenAt;
     std::size_t m_liveCount = 0;
     TimePoint m_nextMembersLogAt {};
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -114,6 +114,16 @@
     asio::post(m_context, [this, records = std::move(records)] { m_router.mergeCrashRecords(records); });
 }
 
+void TrafficLoop::mergeLimits(std::vector<fleet::RunnerLimit> limits)
+{
+    asio::post(m_context, [this, limits = std::move(limits)] { m_router.mergeLimits(limits); });
+}
+
+void TrafficLoop::setFleet(std::vector<std::string> otherIps)
+{
+    asio::post(m_context, [this, otherIps = std::move(otherIps)] { m_router.setFleet(m_settings.ip, otherIps); });
+}
+
 void TrafficLoop::beginStop(std::function<void()> onStopped)
 {
     asio::post(m_context, [this, onStopped = std::move(onStopped)]() mutable {
@@ -141,8 +151,8 @@
         m_router.updateMetrics(now);
         m_router.logLimitUse();
     }
-    if (m_stateListener)
-        m_stateListener(m_router.runnerStates(now), m_router.crashRecords(now));
+    if (m_reportListener)
+        m_reportListener(m_router.runnerReport(now));
     if (m_stopAt && m_onStopped)
         tickStop(now);
 }
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -8,7 +8,7 @@
 
 namespace eelgrassford::edge {
 
-/// @brief Serves callers on its own thread. Functions other than run() and setStateListener() may be called from any
+/// @brief Serves callers on its own thread. Functions other than run() and setReportListener() may be called from any
 /// thread.
 class TrafficLoop {
 public:
@@ -21,14 +21,18 @@
     void setSettings(const RelaySettings& settings);
     /// @brief Passes on the time of the newest freshness proof of the configuration.
     void confirmConfiguration(TimePoint provenAt);
-    /// @brief Receives the runner states and crash records on every tick, on this loop's thread.
-    using StateListener = std::function<void(std::vector<fleet::RunnerState>, std::vector<dispatch::CrashRecord>)>;
+    /// @brief Receives what this daemon knows about the runners on every tick, on this loop's thread.
+    using ReportListener = std::function<void(proxy::RunnerReport)>;
     /// @brief Must be set before run().
-    void setStateListener(StateListener listener) { m_stateListener = std::move(listener); }
+    void setReportListener(ReportListener listener) { m_reportListener = std::move(listener); }
     /// @brief Sets what the other daemons together report of each runner.
     void setPeerSummaries(std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> summaries);
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::vector<dispatch::CrashRecord> records);
+    /// @brief Merges limits of runners that other daemons know.
+    void mergeLimits(std::vector<fleet::RunnerLimit> limits);
+    /// @brief Sets the other daemons, among which the limits of runners are shared.
+    void setFleet(std::vector<std::string> otherIps);
     /// @brief Begins a graceful stop.
     /// @param onStopped called on this loop's thread once no request is in flight or the grace period is over
     void beginStop(std::function<void()> onStopped);
@@ -43,7 +47,7 @@
     daemon::PeriodicTimer m_tickTimer;
     proxy::Router m_router;
     gateway::StreamServer m_server;
-    StateListener m_stateListener;
+    ReportListener m_reportListener;
     TimePoint m_startedAt {};
     TimePoint m_lastTick {};
     TimePoint m_nextSweepAt {};
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -1,6 +1,8 @@
 #include "fleet/Digest.h"
 
 #include "common/Cbor.h"
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace eelgrassford::fleet {
@@ -13,6 +15,10 @@
     constexpr std::size_t totalFields = 5;
     /// Age of the last answer of a crash record without one.
     constexpr std::int64_t neverServed = -1;
+    /// Rates of limits are integers, in thousandths of a request per second.
+    constexpr double thousandthsPerRequest = 1000.0;
+    /// Rate of a runner that states no limit any more.
+    constexpr std::int64_t unlimitedRate = -1;
 
     std::int64_t toMillisecondCount(Duration duration)
     {
@@ -78,6 +84,33 @@
         return result;
     }
 
+    json limitsToJson(std::span<const RunnerLimit> limits)
+    {
+        auto result = json::array();
+        for (const auto& limit : limits) {
+            const auto rate = limit.perSecond ? std::llround(*limit.perSecond * thousandthsPerRequest) : unlimitedRate;
+            result.push_back({ limit.runner, rate, toMillisecondCount(limit.age) });
+        }
+        return result;
+    }
+
+    /// @param index index of the limits, which daemons of earlier releases do not send
+    std::vector<RunnerLimit> toLimits(const json& fields, std::size_t index)
+    {
+        std::vector<RunnerLimit> result;
+        if (fields.size() <= index)
+            return result;
+        for (const auto& entry : fields.at(index)) {
+            // A limit from the future would outweigh every later one.
+            const auto ageMs = std::max<std::int64_t>(0, entry.at(2).get<std::int64_t>());
+            RunnerLimit limit { entry.at(0).get<RunnerKey>(), {}, std::chrono::milliseconds(ageMs) };
+            if (const auto rate = entry.at(1).get<std::int64_t>(); rate >= 0)
+                limit.perSecond = static_cast<double>(rate) / thousandthsPerRequest;
+            result.push_back(limit);
+        }
+        return result;
+    }
+
     json toJson(const Digest& digest)
     {
         auto runners = json::array();
@@ -86,7 +119,7 @@
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
             runners, requestsToJson(digest.crashes), digest.isLeaving, digest.aggregator,
-            promptPartsToJson(digest.crashes) };
+            promptPartsToJson(digest.crashes), limitsToJson(digest.limits) };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -110,6 +143,7 @@
         // Daemons of earlier releases do not send it.
         if (fields.size() > 9)
             digest.aggregator = fields.at(9).get<std::string>();
+        digest.limits = toLimits(fields, 11);
         return digest;
     }
 
@@ -134,6 +168,7 @@
             summary.runners.push_back({ values[i], values[i + 1], values[i + 2], values[i + 3], values[i + 4] });
         summary.crashes = toCrashRecords(fields, 10, 12);
         summary.isLeaving = fields.at(11).get<bool>();
+        summary.limits = toLimits(fields, 13);
         return summary;
     }
 
@@ -158,7 +193,8 @@
     std::string bytes;
     json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
                       summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
-                      values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes) },
+                      values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes),
+                      limitsToJson(summary.limits) },
         bytes);
     return bytes;
 }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CrashRegistry.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -27,6 +28,17 @@
     bool operator==(const RunnerState&) const = default;
 };
 
+/// @brief The request rate that a runner stated to accept from all daemons together.
+struct RunnerLimit {
+    RunnerKey runner = 0;
+    /// Requests per second; empty if the runner states no limit any more.
+    std::optional<double> perSecond;
+    /// Time since the runner stated this.
+    Duration age {};
+    /// Whether the runner stated it to the sender, rather than to another daemon that told the sender.
+    bool isOwn = true;
+};
+
 /// @brief State that a daemon gossips to the others several times a second.
 ///
 /// Each digest replaces the previous one, so that a lost datagram only delays its news.
@@ -47,6 +59,8 @@
     bool isLeaving = false;
     /// IP address of the only daemon that counts the sender's states; empty if every receiver counts them.
     std::string aggregator;
+    /// Limits that runners stated to the sender.
+    std::vector<RunnerLimit> limits;
 };
 
 /// @brief State of one runner, summed over several daemons.
@@ -89,6 +103,8 @@
     std::vector<dispatch::CrashRecord> crashes;
     /// The sender stops now; its daemons choose another aggregator.
     bool isLeaving = false;
+    /// Limits of runners that the sender knows.
+    std::vector<RunnerLimit> limits;
 };
 
 /// @brief Asks a daemon that reads the store how fresh its mirror is.
--- a/src/fleet/Gossip.h
+++ b/src/fleet/Gossip.h
@@ -26,6 +26,7 @@
 struct LocalState {
     std::vector<RunnerState> runners;
     std::vector<dispatch::CrashRecord> crashes;
+    std::vector<RunnerLimit> limits;
     /// Revision of the newest change of the store that the mirror holds.
     std::uint64_t changeRevision = 0;
     /// Time of the newest freshness proof, from the store or from another daemon.
@@ -62,6 +63,7 @@
         std::string ip;
         std::uint64_t changeRevision = 0;
         std::vector<dispatch::CrashRecord> crashes;
+        std::vector<RunnerLimit> limits;
         /// Time at which a mirror that holds every change up to changeRevision is proven current.
         std::optional<TimePoint> provenAt;
     };
@@ -87,6 +89,8 @@
     std::unordered_map<RunnerKey, RunnerSummary> summarize(TimePoint now) const;
     /// @brief Addresses of the other daemons that are believed to be alive.
     std::vector<std::string> liveIps(TimePoint now) const;
+    /// @brief Addresses of the other daemons that showed a sign of life lately, and may still send requests.
+    std::vector<std::string> presentIps(TimePoint now) const { return m_members.presentIps(now); }
     /// @brief Number of other daemons whose state is known.
     std::size_t liveCount(TimePoint now) const;
     /// @brief Number of known daemons, live or not, without this one.
--- a/src/proxy/OverloadControl.cpp
+++ b/src/proxy/OverloadControl.cpp
@@ -11,6 +11,16 @@
     /// Time for which the load of a service is reused; a busy daemon receives a few requests within it.
     constexpr Duration loadRefreshInterval = std::chrono::milliseconds(20);
 
+    /// Slots that the requests can fill: by Little's law, a runner that limits their rate runs no more than the rate
+    /// times the service time.
+    double usableSlots(const runners::Runner& runner, Duration serviceTime)
+    {
+        const double slots = runner.entry.slots;
+        if (!runner.limit.perSecond || serviceTime == Duration::zero())
+            return slots;
+        return std::min(slots, *runner.limit.perSecond * toSeconds(serviceTime));
+    }
+
 }
 
 std::optional<Duration> OverloadControl::refuseIfOverloaded(
@@ -90,7 +100,7 @@
     for (const auto* runner : m_registry.runnersOf(name)) {
         if (!m_registry.isUsable(*runner, now))
             continue;
-        const double slots = runner->entry.slots;
+        const double slots = usableSlots(*runner, service.shedder.meanServiceTime());
         service.load.slots += slots;
         service.load.inFlight += std::min(m_registry.load(*runner, now), service.shedder.runnerLoadLimit(slots));
     }
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -22,6 +22,10 @@
     /// Expected time of a request that is not a stream, unless the timeout of its route is shorter.
     constexpr Duration expectedRequestTime = std::chrono::milliseconds(1500);
     constexpr double tenthsPerRequest = 10.0;
+    /// Time for which other daemons are told of a limit of a runner, or of its end.
+    constexpr Duration limitReportTime = std::chrono::seconds(10);
+    /// Logged in place of a rate that is not limited.
+    constexpr double noLimit = -1.0;
     /// Served requests, in tenths, from which an otherwise idle and healthy runner is reported to other daemons. Fewer
     /// say too little about it.
     constexpr std::uint32_t minServedTenths = 10;
@@ -220,6 +224,57 @@
     return result;
 }
 
+RunnerReport Router::runnerReport(TimePoint now) const
+{
+    return { runnerStates(now), m_crashes.records(now), recentLimits(now) };
+}
+
+std::vector<fleet::RunnerLimit> Router::recentLimits(TimePoint now) const
+{
+    std::vector<fleet::RunnerLimit> result;
+    for (const auto& [id, runner] : m_registry.runners()) {
+        const auto& limit = runner->limit;
+        if (limit.statedAt != TimePoint {} && now - limit.statedAt < limitReportTime)
+            result.push_back({ static_cast<fleet::RunnerKey>(runner->identity), limit.perSecond, now - limit.statedAt,
+                runner->isLimitOwn });
+    }
+    return result;
+}
+
+void Router::mergeLimits(std::span<const fleet::RunnerLimit> limits)
+{
+    const auto now = m_clock();
+    std::unordered_map<fleet::RunnerKey, runners::Runner*> runners;
+    for (const auto& [id, runner] : m_registry.runners())
+        runners[static_cast<fleet::RunnerKey>(runner->identity)] = runner.get();
+    for (const auto& limit : limits) {
+        const auto found = runners.find(limit.runner);
+        if (found == runners.end())
+            continue;
+        auto& runner = *found->second;
+        const auto before = runner.limit.perSecond;
+        if (m_registry.mergeLimit(runner, { limit.perSecond, now - limit.age }, now))
+            logLimit(runner, before, {});
+    }
+}
+
+void Router::logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const
+{
+    telemetry::logInfo("runner-limit",
+        { { "runner", runner.entry.id }, { "request", request },
+            { "per_second", runner.limit.perSecond.value_or(noLimit) }, { "before", before.value_or(noLimit) },
+            { "share", runner.rateShare ? runner.rateShare->perSecond() : noLimit },
+            { "daemons", static_cast<std::uint64_t>(m_registry.fleet().others.size() + 1) } });
+}
+
+void Router::setFleet(std::string_view ownIp, std::span<const std::string> otherIps)
+{
+    runners::FleetView fleet { hash64(ownIp), {} };
+    for (const auto& ip : otherIps)
+        fleet.others.push_back(hash64(ip));
+    m_registry.setFleet(std::move(fleet), m_clock());
+}
+
 void Router::setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries)
 {
     for (const auto& [id, runner] : m_registry.runners()) {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -7,6 +7,7 @@
 #include "proxy/Codec.h"
 #include "proxy/OverloadControl.h"
 #include "proxy/PromptIndex.h"
+#include "proxy/RunnerReport.h"
 #include "routing/RouteTable.h"
 #include "runners/Placement.h"
 #include "runners/Registry.h"
@@ -77,14 +78,18 @@
     /// @brief Extends the credential lease after a freshness proof.
     /// @param confirmedAt time at which the configuration in force was current; ignored if older than an earlier proof
     void confirmConfiguration(TimePoint confirmedAt);
-    /// @brief Load and health of the runners as this daemon sees them, to be sent to the other daemons.
-    std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
+    /// @brief What this daemon tells the others about the runners.
+    RunnerReport runnerReport(TimePoint now) const;
     /// @brief Requests that crashed runners, to be sent to the other daemons.
     std::vector<dispatch::CrashRecord> crashRecords(TimePoint now) const { return m_crashes.records(now); }
     /// @brief Replaces what the other daemons report on the load and health of the runners.
     void setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries);
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::span<const dispatch::CrashRecord> records);
+    /// @brief Merges limits of runners that other daemons know.
+    void mergeLimits(std::span<const fleet::RunnerLimit> limits);
+    /// @brief Sets the daemons among which the limits of runners are shared, by their addresses.
+    void setFleet(std::string_view ownIp, std::span<const std::string> otherIps);
     /// @brief Begins a graceful stop: refuses new requests that are not expected to end before @a deadline.
     void beginStop(TimePoint deadline) { m_stopDeadline = deadline; }
     /// @brief Closes connections that were idle for too long, expires crash records, and detects services that are no
@@ -115,6 +120,12 @@
 
     using ProbeResult = upstream::ConnectionPool::ProbeResult;
 
+    std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
+    /// Newest limits of runners, and ends of limits.
+    std::vector<fleet::RunnerLimit> recentLimits(TimePoint now) const;
+    /// Logs that a runner begins, changes or ends a limit.
+    /// @param source the request whose response said so, or empty if another daemon did
+    void logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const;
     /// Whether a probe that began at @a begunAt shows that its runner cannot be reached.
     bool isUnreachable(ProbeResult result, TimePoint begunAt) const;
     /// Fails the attempts that wait for an unreachable runner.
--- /dev/null
+++ b/src/proxy/RunnerReport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "dispatch/CrashRegistry.h"
+#include "fleet/Digest.h"
+#include <vector>
+
+namespace eelgrassford::proxy {
+
+/// @brief What a daemon tells the others about the runners.
+struct RunnerReport {
+    /// Load and health as this daemon sees them.
+    std::vector<fleet::RunnerState> states;
+    /// Requests, and parts of prompts, that crashed runners.
+    std::vector<dispatch::CrashRecord> crashes;
+    /// Request rates that runners stated to accept.
+    std::vector<fleet::RunnerLimit> limits;
+};
+
+}
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -16,13 +16,13 @@
     /// Tokens of a cached prefix from which fetching it from another runner costs less than recomputing it.
     constexpr std::uint32_t minTokensToFetch = 1024;
 
+    /// Largest part of the latency objective for which a request waits until the rate limit of a runner allows it.
+    constexpr double maxRateWaitShare = 0.125;
+
     /// Events from which the runner is known to be able to answer a prompt. A runner that crashes on a part of a prompt
     /// does so as it begins to answer.
     constexpr std::uint64_t minEventsOfAnswer = 2;
 
-    /// Logged in place of a rate that is not limited.
-    constexpr double noLimit = -1.0;
-
     bool isSuccess(std::uint16_t status) { return status / 100 == 2; }
 
     /// Whether callers take a status to mean that the request was not run.
@@ -89,14 +89,10 @@
     m_placement = runners::place(m_router.m_registry, request, m_router.m_options.placement, now);
     auto* runner = m_placement.runner;
     if (!runner) {
-        if (m_hasResponseStarted)
-            execute(RelayStep::Abort, "no runner is left");
-        else if (m_plan.mayHaveRun())
-            execute(RelayStep::FailUnknown, "no runner is left");
-        else
-            execute(RelayStep::RefuseNotRun, "no runner is usable");
+        onNoRunner(now);
         return;
     }
+    m_lastTryAt.reset();
     m_plan.beginAttempt();
     m_router.m_registry.recordDispatch(*runner, now);
     m_lastRunner = runner->entry.id;
@@ -118,6 +114,32 @@
             [self](const upstream::ExchangeResult& result) { self->onEnded(result); } });
 }
 
+void Session::onNoRunner(TimePoint now)
+{
+    if (tryWaitForRate(now))
+        return;
+    if (m_hasResponseStarted)
+        execute(RelayStep::Abort, "no runner is left");
+    else if (m_plan.mayHaveRun())
+        execute(RelayStep::FailUnknown, "no runner is left");
+    else if (m_placement.availableAt)
+        execute(RelayStep::RefuseNotRun, "the rate limits of all runners are used up");
+    else
+        execute(RelayStep::RefuseNotRun, "no runner is usable");
+}
+
+bool Session::tryWaitForRate(TimePoint now)
+{
+    if (!m_placement.availableAt)
+        return false;
+    if (!m_lastTryAt)
+        m_lastTryAt = now + fromSeconds(toSeconds(m_admitted.route->latencyObjective) * maxRateWaitShare);
+    if (*m_placement.availableAt > *m_lastTryAt || now >= *m_lastTryAt)
+        return false;
+    m_nextTryAt = m_placement.availableAt;
+    return true;
+}
+
 std::string Session::encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const
 {
     ForwardMetadata metadata;
@@ -162,12 +184,9 @@
 void Session::recordLimit(runners::Runner& runner) const
 {
     const auto before = runner.limit.perSecond;
-    const auto after = m_attempt->metadata.rateLimit;
-    if (!m_router.m_registry.recordLimit(runner, after, m_attempt->sentAt, m_router.now()))
-        return;
-    telemetry::logInfo("runner-limit",
-        { { "runner", m_attempt->runner }, { "request", m_admitted.metadata.attemptId },
-            { "per_second", after.value_or(noLimit) }, { "before", before.value_or(noLimit) } });
+    const auto now = m_router.now();
+    if (m_router.m_registry.recordLimit(runner, m_attempt->metadata.rateLimit, m_attempt->sentAt, now))
+        m_router.logLimit(runner, before, m_admitted.metadata.attemptId);
 }
 
 void Session::onBytes(std::string_view bytes)
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -73,6 +73,10 @@
 
     /// Places the request and sends it to the chosen runner.
     void send();
+    /// Decides what follows when no runner can take the request now.
+    void onNoRunner(TimePoint now);
+    /// Waits for this daemon's share of the rate limits of runners, if it allows the request soon.
+    bool tryWaitForRate(TimePoint now);
     /// The request as HTTP/1.1 bytes for a runner.
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
@@ -106,6 +110,8 @@
     void onCallerDisconnected();
     /// Answers that the request was not run and never will be, so that the caller may repeat it.
     void answerNotRun(std::string_view detail);
+    /// Time after which a caller may come back whose request exceeds the rate limits of all runners.
+    Duration retryAfterRateLimit(TimePoint now) const;
     /// Answers that the request may have been run.
     void answerOutcomeUnknown(std::uint16_t status, std::string_view detail);
     /// Records the outcome in metrics and log; further calls have no effect.
@@ -125,6 +131,9 @@
     std::vector<std::string> m_excludedRunners;
     runners::Placement m_placement;
     std::string m_lastRunner;
+    /// Set while the request waits until the rate limit of a runner allows it: time of the next try, and of the last.
+    std::optional<TimePoint> m_nextTryAt;
+    std::optional<TimePoint> m_lastTryAt;
     /// Id of the last event that the caller has; 0 without one.
     std::uint64_t m_lastEvent = 0;
     bool m_hasResponseStarted = false;
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -1,5 +1,6 @@
 #include "proxy/Session.h"
 
+#include "common/Hash.h"
 #include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
 
@@ -9,16 +10,28 @@
 
     /// Mean Retry-After of a request for which no runner was usable.
     constexpr Duration retryAfterNoRunner = std::chrono::milliseconds(300);
+    /// Part of the time left within which a caller is asked to come back; callers wait no longer than a third.
+    constexpr double retryShareOfTimeLeft = 0.33;
 
 }
 
 void Session::answerNotRun(std::string_view detail)
 {
-    m_router.refuse(*m_responder, m_admitted.metadata,
-        { status::unavailable, "no-runner", m_router.withJitter(retryAfterNoRunner) });
+    Router::Refusal refusal { status::unavailable, "no-runner", m_router.withJitter(retryAfterNoRunner) };
+    if (m_placement.availableAt)
+        refusal = { status::unavailable, "rate-limited", retryAfterRateLimit(m_router.now()) };
+    m_router.refuse(*m_responder, m_admitted.metadata, refusal);
     finish("not-run", status::unavailable, detail);
 }
 
+Duration Session::retryAfterRateLimit(TimePoint now) const
+{
+    // Callers whose requests exceed the limits come back at different times, as long as an answer can still be in time.
+    const auto earliest = std::max<Duration>(*m_placement.availableAt - now, Duration::zero());
+    const auto latest = fromSeconds(toSeconds(m_admitted.deadline - now) * retryShareOfTimeLeft);
+    return earliest + fromSeconds(toSeconds(std::max(latest - earliest, Duration::zero())) * m_router.unitDraw());
+}
+
 void Session::answerOutcomeUnknown(std::uint16_t status, std::string_view detail)
 {
     m_router.refuse(*m_responder, m_admitted.metadata, { status, "outcome-unknown", {} });
@@ -56,6 +69,7 @@
             { "revision", m_admitted.routes->revision() }, { "organisation", m_admitted.organisation },
             { "service", m_admitted.service }, { "prompt_tokens", m_admitted.metadata.promptTokens },
             { "runner", m_lastRunner }, { "attempts", m_plan.attempts() },
+            { "prefix", m_affinity.prefixHash == 0 ? "" : toHex(m_affinity.prefixHash) },
             { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
             { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usableRunners) },
             { "fetched", m_placement.prefixSource != nullptr }, { "status", static_cast<int>(status) },
--- a/src/proxy/SessionTimeouts.cpp
+++ b/src/proxy/SessionTimeouts.cpp
@@ -33,8 +33,12 @@
     const auto timeoutAt = attemptTimeoutAt();
     if (timeoutAt && *timeoutAt > now)
         at = std::min(at, *timeoutAt);
+    if (m_nextTryAt)
+        at = std::min(at, *m_nextTryAt);
     m_timer.expires_after(std::max<Duration>(at - now, Duration::zero()));
-    m_timer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+    // Without an attempt nothing else keeps the session alive.
+    const auto waiting = m_nextTryAt ? shared_from_this() : nullptr;
+    m_timer.async_wait([weak = weak_from_this(), waiting](const asio::error_code& error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
             self->onTimer();
@@ -64,6 +68,12 @@
             answerNotRun("the time is over");
         return;
     }
+    if (std::exchange(m_nextTryAt, std::nullopt)) {
+        send();
+        if (!m_isFinished)
+            armTimer();
+        return;
+    }
     if (shouldTryElsewhere(now) && m_plan.tryAbandonAttempt(m_hasResponseStarted, now, retryBudget(now))) {
         const auto runner = m_attempt->runner;
         upstream::ConnectionPool::cancel(m_attempt->handle);
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -17,6 +17,11 @@
         return std::find(request.excluded.begin(), request.excluded.end(), runner.entry.id) != request.excluded.end();
     }
 
+    bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
+    {
+        return registry.isUsable(runner, now) && registry.isWithinRate(runner, now) && !isExcluded(runner, request);
+    }
+
     /// Load per slot, with the penalties for distance and failures.
     double penalisedLoad(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
@@ -46,13 +51,19 @@
     }
 
     /// Chooses a suspended runner. The suspension may be wrong or outdated, and an attempt serves the caller better
-    /// than a refusal.
-    void chooseLastResort(const Registry& registry, const PlacementRequest& request, Placement& result)
+    /// than a refusal; but not one whose rate limit does not allow the request.
+    void chooseLastResort(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
     {
         BestCandidate best;
         for (auto* runner : registry.runnersOf(request.service)) {
             if (runner->entry.isLeaving || isExcluded(*runner, request))
                 continue;
+            if (!registry.isWithinRate(*runner, now)) {
+                const auto at = runner->rateShare->availableAt();
+                if (at && (!result.availableAt || *at < *result.availableAt))
+                    result.availableAt = at;
+                continue;
+            }
             best.consider(runner, toSeconds(runner->suspendedUntil.time_since_epoch()),
                 mix64(request.tieBreaker, runner->identity));
         }
@@ -107,7 +118,7 @@
     BestCandidate leastLoaded;
     BestCandidate firstChoice;
     for (auto* runner : registry.runnersOf(request.service)) {
-        if (!registry.isUsable(*runner, now) || isExcluded(*runner, request))
+        if (!canTake(registry, *runner, request, now))
             continue;
         ++result.usableRunners;
         total += registry.load(*runner, now);
@@ -116,7 +127,7 @@
         firstChoice.consider(runner, -rendezvousScore(*runner, request), 0);
     }
     if (result.usableRunners == 0) {
-        chooseLastResort(registry, request, result);
+        chooseLastResort(registry, request, now, result);
         return result;
     }
     result.bound = options.loadBound * total / static_cast<double>(result.usableRunners) + options.loadMargin;
@@ -127,7 +138,7 @@
         result.reason = PlacementReason::LeastLoaded;
         BestCandidate withinBound;
         for (auto* runner : registry.runnersOf(request.service)) {
-            if (!registry.isUsable(*runner, now) || isExcluded(*runner, request))
+            if (!canTake(registry, *runner, request, now))
                 continue;
             const auto load = registry.load(*runner, now);
             if (load + 1.0 > result.bound || load >= runner->entry.slots)
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -2,6 +2,7 @@
 
 #include "runners/Registry.h"
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -58,6 +59,9 @@
     double bound = 0.0;
     /// Number of runners that could take the request.
     std::size_t usableRunners = 0;
+    /// Without a runner: time at which the first one may take the request whose rate limit does not allow it now; empty
+    /// if there is none.
+    std::optional<TimePoint> availableAt;
 };
 
 /// @brief Load bound of placement: a multiple of the mean load plus a constant.
@@ -73,7 +77,8 @@
 /// Rendezvous hashing gives a shared prompt prefix the same order of runners on every daemon, so its requests reach a
 /// runner that has it cached. The runner that last served the session is chosen if it is within the load bound,
 /// otherwise the first runner in that order that is. Requests without a shared prefix go to the least loaded runner,
-/// with a preference for the same data centre.
+/// with a preference for the same data centre. A runner that limits its request rate is passed over while this daemon's
+/// share of the limit is used up.
 /// @complexity linear in the runners of the service
 Placement place(
     const Registry& registry, const PlacementRequest& request, const PlacementOptions& options, TimePoint now);
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -108,7 +108,10 @@
 {
     if (runner.ownLoad++ == 0)
         runner.lastActivityAt = now;
-    runner.sentWhileLimited += runner.limit.perSecond ? 1 : 0;
+    if (!runner.rateShare)
+        return;
+    ++runner.sentWhileLimited;
+    runner.rateShare->take(now);
 }
 
 void Registry::recordReceived(Runner& runner, TimePoint now)
@@ -206,9 +209,49 @@
 {
     if (!perSecond && (!runner.limit.perSecond || sentAt <= runner.limit.statedAt))
         return false;
-    const bool hasChanged = isNoticeableChange(runner.limit.perSecond, perSecond);
-    runner.limit = { perSecond, now };
-    return hasChanged;
+    runner.isLimitOwn = true;
+    return replaceLimit(runner, { perSecond, now }, now);
+}
+
+bool Registry::mergeLimit(Runner& runner, const StatedLimit& limit, TimePoint now)
+{
+    if (limit.statedAt <= runner.limit.statedAt)
+        return false;
+    runner.isLimitOwn = false;
+    return replaceLimit(runner, limit, now);
+}
+
+bool Registry::replaceLimit(Runner& runner, const StatedLimit& limit, TimePoint now)
+{
+    const auto before = std::exchange(runner.limit, limit).perSecond;
+    if (before != limit.perSecond)
+        updateRateShare(runner, now);
+    return isNoticeableChange(before, limit.perSecond);
+}
+
+void Registry::setFleet(FleetView fleet, TimePoint now)
+{
+    m_fleet = std::move(fleet);
+    for (const auto& [id, runner] : m_runners)
+        updateRateShare(*runner, now);
+}
+
+void Registry::updateRateShare(Runner& runner, TimePoint now) const
+{
+    if (!runner.limit.perSecond) {
+        runner.rateShare.reset();
+        return;
+    }
+    const auto share = shareOfLimit(*runner.limit.perSecond, runner.identity, m_fleet);
+    if (runner.rateShare)
+        runner.rateShare->setRate(share, now);
+    else
+        runner.rateShare.emplace(share, toUnitInterval(mix64(m_fleet.self, runner.identity)), now);
+}
+
+bool Registry::isWithinRate(const Runner& runner, TimePoint now) const
+{
+    return !runner.rateShare || runner.rateShare->isAvailable(now);
 }
 
 bool Registry::suspendForConnectionFailures(Runner& runner, TimePoint now)
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -91,6 +91,14 @@
     /// @param sentAt time at which the request was sent
     /// @return whether the limit began, ended or changed noticeably
     bool recordLimit(Runner& runner, std::optional<double> perSecond, TimePoint sentAt, TimePoint now);
+    /// @brief Takes what another daemon knows of the limit of a runner, if it is newer.
+    /// @return whether the limit began, ended or changed noticeably
+    bool mergeLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
+    /// @brief Sets the daemons among which the limits of runners are shared.
+    void setFleet(FleetView fleet, TimePoint now);
+    const FleetView& fleet() const { return m_fleet; }
+    /// @brief Whether this daemon's share of the limit of a runner allows a request now.
+    bool isWithinRate(const Runner& runner, TimePoint now) const;
     /// @brief Reports of all other daemons about a runner, summed up.
     struct PeerSummary {
         /// Their requests in flight to the runner.
@@ -110,12 +118,16 @@
     bool suspend(Runner& runner, Duration duration, TimePoint now);
     bool suspendForConnectionFailures(Runner& runner, TimePoint now);
     bool canSuspend(const Runner& runner, TimePoint now) const;
+    bool replaceLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
+    /// @brief Computes this daemon's share of the limit of a runner.
+    void updateRateShare(Runner& runner, TimePoint now) const;
     /// @brief Mean failure rate of the other runners of the same service.
     double meanFailureRate(const Runner& except) const;
 
     RegistryOptions m_options;
     std::optional<TimePoint> m_firstListedAt;
     TimePoint m_lastReceivedAt {};
+    FleetView m_fleet;
     std::map<std::string, std::unique_ptr<Runner>, std::less<>> m_runners;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
 };
--- a/tests/edge/FleetLinkTest.cpp
+++ b/tests/edge/FleetLinkTest.cpp
@@ -44,7 +44,8 @@
 
     Daemon(asio::io_context& context, const std::string& ip, std::uint16_t port, std::uint64_t incarnation)
         : client(context)
-        , link(context, settingsOf(ip, port), incarnation, mirror, client, [] { return 0.5; }, { [] {}, [](auto) {} })
+        , link(context, settingsOf(ip, port), incarnation, mirror, client, [] { return 0.5; },
+              { [] {}, [](auto) {}, [](auto) {} })
     {
         mirror.merge({ 0, 10, { { "key", "old", 10 } }, {}, true }, currentTime());
     }
--- a/tests/fleet/FleetModel.h
+++ b/tests/fleet/FleetModel.h
@@ -27,6 +27,8 @@
         std::uint64_t sentMessages = 0;
         /// Newest proof that a message brought.
         std::optional<TimePoint> provenAt;
+        /// Limits of runners that messages brought.
+        std::vector<fleet::RunnerLimit> receivedLimits;
     };
 
     FleetModel(std::size_t size, std::uint64_t seed, const fleet::Gossip::Options& options = {});
--- a/tests/fleet/GossipTest.cpp
+++ b/tests/fleet/GossipTest.cpp
@@ -205,6 +205,27 @@
         CHECK(daemon.state.changeRevision == 42);
 }
 
+TEST_CASE("a limit that a runner states to one daemon reaches every daemon of any fleet within a second")
+{
+    for (const std::size_t size : { 7u, 60u }) {
+        FleetModel model(size, 10, smallGroups());
+        model.run(settleTime);
+        const auto teller = size == 7 ? 0 : findReporter(model);
+        model.daemons()[teller].state.limits = { { runner, 3.4, milliseconds(100) } };
+        model.run(seconds(1));
+        for (std::size_t i = 0; i < size; ++i) {
+            CAPTURE(i);
+            const auto& received = model.daemons()[i].receivedLimits;
+            CHECK((i == teller || !received.empty()));
+            for (const auto& limit : received) {
+                CHECK(limit.runner == runner);
+                CHECK(limit.perSecond == 3.4);
+                CHECK(limit.age == milliseconds(100));
+            }
+        }
+    }
+}
+
 TEST_CASE("a proof that passes through aggregators is never newer than the original, however messages are delayed")
 {
     FleetModel model(60, 9, smallGroups());
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -163,6 +163,7 @@
     // Daemons of earlier releases read and pass on only the records of whole requests.
     auto message = nlohmann::json::from_cbor(fleet::encode(original));
     CHECK(message.at(1).at(7) == nlohmann::json::array({ { 9, { 1, 2 } } }));
+    message.at(1).erase(11);
     message.at(1).erase(10);
     std::string earlier;
     nlohmann::json::to_cbor(message, earlier);
@@ -171,6 +172,30 @@
     CHECK(std::get<Digest>(*fromEarlier).crashes.size() == 1);
 }
 
+TEST_CASE("limits of runners are decoded as they were encoded, and a daemon of an earlier release sends none")
+{
+    auto original = digest("10.0.0.2", 5, 1);
+    original.limits = { { 7, 3.4, milliseconds(250) }, { 8, {}, milliseconds(40) } };
+    auto message = nlohmann::json::from_cbor(fleet::encode(original));
+    const auto limitsOf = [&message] {
+        std::string bytes;
+        nlohmann::json::to_cbor(message, bytes);
+        const auto decoded = fleet::decode(bytes);
+        REQUIRE(decoded);
+        return std::get<Digest>(*decoded).limits;
+    };
+    const auto limits = limitsOf();
+    REQUIRE(limits.size() == 2);
+    CHECK(limits[0].runner == 7);
+    CHECK(limits[0].perSecond == 3.4);
+    CHECK(limits[0].age == milliseconds(250));
+    CHECK_FALSE(limits[1].perSecond);
+    message.at(1).at(11).at(0).at(2) = -5000;
+    CHECK(limitsOf()[0].age == Duration::zero());
+    message.at(1).erase(11);
+    CHECK(limitsOf().empty());
+}
+
 TEST_CASE("crashes before an answer are not told to other daemons")
 {
     const std::vector<dispatch::CrashSuspect> request { { 8 } };
--- a/tests/proxy/RunnerLimitTest.cpp
+++ b/tests/proxy/RunnerLimitTest.cpp
@@ -1,3 +1,4 @@
+#include "common/Hash.h"
 #include "proxy/RouterFixture.h"
 
 using namespace eelgrassford;
@@ -26,6 +27,14 @@
         served += fixture.caller->received.starts_with("HTTP/1.1 200") ? 1 : 0;
     }
 
+    static fleet::RunnerKey keyOf(const std::string& id) { return static_cast<fleet::RunnerKey>(hash64(id, 1)); }
+
+    /// Lets another daemon tell that a runner states a limit.
+    void stateLimit(const std::string& id, double perSecond)
+    {
+        fixture.router.mergeLimits(std::vector<fleet::RunnerLimit> { { keyOf(id), perSecond, Duration::zero() } });
+    }
+
     static bool answer(const tests::Listener& runner, const std::string& id, const std::string& limit)
     {
         for (const auto& peer : runner.peers) {
@@ -63,3 +72,45 @@
     CHECK(service.atLimitedRunner >= 1);
     CHECK(service.served == service.requests);
 }
+
+TEST_CASE(
+    "a request waits for a runner's limit if that is short, and is refused at once with the time to come back if not")
+{
+    LimitedService service;
+    auto& router = service.fixture.router;
+    // Both runners accept 50 requests a second; the objective of five seconds allows a wait of 0.6 s.
+    const std::vector<std::string> ids { "r-1", "r-2" };
+    for (const auto& id : ids)
+        service.stateLimit(id, 50.0);
+    for (int i = 0; i < 4; ++i)
+        service.call();
+    CHECK(service.served == 4);
+    for (const auto& id : ids)
+        service.stateLimit(id, 0.0);
+    service.call();
+    service.call();
+    CHECK(service.fixture.caller->received.starts_with("HTTP/1.1 503"));
+    CHECK(service.fixture.caller->has("rate-limited"));
+    CHECK(service.fixture.caller->has("Retry-After"));
+    CHECK(router.requestsInFlight() == 0);
+}
+
+TEST_CASE("a limit that another daemon tells is kept, and an older one or one of another runner is not taken")
+{
+    LimitedService service;
+    auto& router = service.fixture.router;
+    const auto limitOfFirst = [&router] {
+        const auto limits = router.runnerReport(daemon::currentTime()).limits;
+        return limits.empty() ? std::nullopt : limits.front().perSecond;
+    };
+    const auto key = service.keyOf("r-1");
+    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key + 1, 1.0, Duration::zero() } });
+    CHECK(router.runnerReport(daemon::currentTime()).limits.empty());
+    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, 2.0, std::chrono::milliseconds(500) } });
+    CHECK(limitOfFirst() == 2.0);
+    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, {}, std::chrono::milliseconds(900) } });
+    CHECK(limitOfFirst() == 2.0);
+    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, {}, std::chrono::milliseconds(100) } });
+    CHECK_FALSE(limitOfFirst());
+    CHECK_FALSE(router.runnerReport(daemon::currentTime()).limits.front().isOwn);
+}
