Count the load of runners with a rate limit apart in overload control

Callers waited for their deadlines while nearly all runners of a service limited their rates: the free slots of those counted as room, so that the only other runner got several times what it can serve. Now the bound is that of the runners without a limit, and a request beyond it is admitted only if a share of a limit is left.

Test: OverloadControlTest, failed before (admitted at 128 requests in flight on 64 slots). What remains: the only runner left gets prompts that it does not hold and is still overloaded.

--- a/src/admission/LoadShedder.h
+++ b/src/admission/LoadShedder.h
@@ -137,8 +137,6 @@
     {
         return load.inFlight <= m_options.baselinePressure * bound(load);
     }
-    /// @brief Mean time that a runner takes to serve a request; zero before the first one.
-    Duration meanServiceTime() const { return fromSeconds(m_meanServiceTime); }
     /// @brief Number of tracked organisations; those beyond the limit count as one.
     std::size_t flowCount() const { return m_flows.size(); }
     /// @brief Number of routes with a measured service time.
--- a/src/proxy/OverloadControl.cpp
+++ b/src/proxy/OverloadControl.cpp
@@ -11,16 +11,6 @@
     /// Time for which the load of a service is reused; a busy daemon receives a few requests within it.
     constexpr Duration loadRefreshInterval = std::chrono::milliseconds(20);
 
-    /// Slots that the requests can fill: by Little's law, a runner that limits their rate runs no more than the rate
-    /// times the service time.
-    double usableSlots(const runners::Runner& runner, Duration serviceTime)
-    {
-        const double slots = runner.entry.slots;
-        if (!runner.limit.perSecond || serviceTime == Duration::zero())
-            return slots;
-        return std::min(slots, *runner.limit.perSecond * toSeconds(serviceTime));
-    }
-
 }
 
 std::optional<Duration> OverloadControl::refuseIfOverloaded(
@@ -31,6 +21,8 @@
     const auto decision = entry.shedder.decide(request, entry.load, now);
     if (decision.verdict == admission::SheddingVerdict::Admitted)
         return std::nullopt;
+    if (!decision.isSurging && hasRateRoom(service, now))
+        return std::nullopt;
     const auto bound = entry.shedder.bound(entry.load);
     telemetry::logInfo("overload-refusal",
         { { "request", requestId }, { "service", service }, { "organisation", request.organisation },
@@ -46,6 +38,14 @@
     return decision.retryAfter;
 }
 
+bool OverloadControl::hasRateRoom(std::string_view service, TimePoint now) const
+{
+    const auto runners = m_registry.runnersOf(service);
+    return std::any_of(runners.begin(), runners.end(), [&](const runners::Runner* runner) {
+        return runner->rateShare && m_registry.isUsable(*runner, now) && m_registry.isWithinRate(*runner, now);
+    });
+}
+
 void OverloadControl::recordFirstByte(const std::string& service, bool isLate, TimePoint now)
 {
     serviceOf(service, now).shedder.recordFirstByte(isLate, now);
@@ -98,9 +98,10 @@
     service.loadRefreshedAt = now;
     service.load = {};
     for (const auto* runner : m_registry.runnersOf(name)) {
-        if (!m_registry.isUsable(*runner, now))
+        // Free slots of a runner that limits its rate are of no use to requests that exceed the limit.
+        if (!m_registry.isUsable(*runner, now) || runner->rateShare)
             continue;
-        const double slots = usableSlots(*runner, service.shedder.meanServiceTime());
+        const double slots = runner->entry.slots;
         service.load.slots += slots;
         service.load.inFlight += std::min(m_registry.load(*runner, now), service.shedder.runnerLoadLimit(slots));
     }
--- a/src/proxy/OverloadControl.h
+++ b/src/proxy/OverloadControl.h
@@ -43,7 +43,9 @@
     };
 
     Service& serviceOf(const std::string& name, TimePoint now);
-    /// Sums up the load of the usable runners, unless the last sum is recent enough.
+    /// Whether a runner that limits its rate can take a request now.
+    bool hasRateRoom(std::string_view service, TimePoint now) const;
+    /// Sums up the load of the usable runners without a limit of their rate, unless the last sum is recent enough.
     void refreshLoad(const std::string& name, Service& service, TimePoint now) const;
 
     const runners::Registry& m_registry;
