Order the store's revisions by the copy that they come from

Cause: revisions go back in a restored store, and mirrors, configuration and gossip took a greater revision for a later state. Class of fault: a counter is trusted beyond the lifetime of what counts. Evidence: store-era on the unchanged decisions; readers list the new copy while they hold revision 26, and take nothing up to 26 from it.

A mirror's revisions now have the store's era in their upper bits, so that every comparison (items, removals, deltas, announcements, proofs) holds across a restoration; the first era keeps the store's own numbers, which daemons of earlier releases understand. An answer of another era than the query's leads to a new listing, one of an earlier era is not taken. Documents of a restored copy that describe an earlier state than the known one, by version, or by start and sequence of a runner, are not taken, nor items that were removed since; items that the copy lacks are kept for the time in which their owners write them again.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -51,7 +51,11 @@
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device {}())
     , m_client(m_context)
-    , m_mirror(protocol, mirrorOptions(), [this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_mirror(
+          protocol, mirrorOptions(), [this] { return std::uniform_real_distribution<double>()(m_random); },
+          [&documents](std::string_view key, std::string_view left, std::string_view right) {
+              return documents.compareStates(key, left, right);
+          })
     , m_admin(m_context, settings.adminAddress.ip, settings.adminAddress.port,
           gateway::AdminServer::Sources {
               [this] { return isReady(); }, [this] { return m_metrics.serialize(); }, [this] { return statusJson(); } },
@@ -159,7 +163,7 @@
         return;
     telemetry::logWarning("store-era",
         { { "era", m_mirror.era().value_or(0) }, { "before", before.value_or(0) },
-            { "store_revision", m_mirror.completeRevision() } });
+            { "store_revision", store::storeRevisionOf(m_mirror.completeRevision()) } });
 }
 
 void ControlLoop::updateFreshness(TimePoint now)
@@ -193,7 +197,7 @@
     auto configuration = m_documents.decodeConfiguration(item.value);
     if (!configuration) {
         telemetry::logError("configuration-unreadable",
-            { { "store_revision", item.revision }, { "detail", configuration.error().what } });
+            { { "store_revision", store::storeRevisionOf(item.revision) }, { "detail", configuration.error().what } });
         return;
     }
     if (configuration->revision <= m_configurationRevision) {
@@ -203,7 +207,7 @@
     }
     m_configurationRevision = configuration->revision;
     telemetry::logInfo("configuration-adopted",
-        { { "revision", configuration->revision }, { "store_revision", item.revision },
+        { { "revision", configuration->revision }, { "store_revision", store::storeRevisionOf(item.revision) },
             { "routes", static_cast<std::uint64_t>(configuration->routes.size()) },
             { "organisations", static_cast<std::uint64_t>(configuration->organisations.size()) } });
     m_traffic.setRoutes(std::make_shared<const routing::RouteTable>(std::move(*configuration)));
--- a/src/edge/DocumentCodec.h
+++ b/src/edge/DocumentCodec.h
@@ -2,6 +2,7 @@
 
 #include "routing/Configuration.h"
 #include "runners/Runner.h"
+#include <compare>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,10 @@
     /// @return an error if the document is malformed, as after an overwrite by another writer
     virtual tl::expected<runners::RunnerEntry, DocumentError> decodeRunner(
         std::string_view key, std::string_view document) const = 0;
+    /// @brief Compares the states that two documents of a key describe.
+    /// @return unordered if the documents do not say which state is later
+    virtual std::partial_ordering compareStates(
+        std::string_view key, std::string_view left, std::string_view right) const = 0;
 };
 
 }
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -201,12 +201,12 @@
     if (behindSince && !m_loggedBehindSince && now - *behindSince > loggedTimeBehind) {
         m_loggedBehindSince = behindSince;
         telemetry::logWarning("mirror-behind",
-            { { "store_revision", m_mirror.completeRevision() }, { "behind_ms", toMilliseconds(now - *behindSince) },
-                { "reader", m_wasReader }, { "elected", m_readerElection.isElected() },
-                { "store_failure", m_mirror.failure() } });
+            { { "store_revision", store::storeRevisionOf(m_mirror.completeRevision()) },
+                { "behind_ms", toMilliseconds(now - *behindSince) }, { "reader", m_wasReader },
+                { "elected", m_readerElection.isElected() }, { "store_failure", m_mirror.failure() } });
     } else if (!behindSince && m_loggedBehindSince) {
         telemetry::logInfo("mirror-caught-up",
-            { { "store_revision", m_mirror.completeRevision() },
+            { { "store_revision", store::storeRevisionOf(m_mirror.completeRevision()) },
                 { "behind_ms", toMilliseconds(now - *std::exchange(m_loggedBehindSince, std::nullopt)) } });
     }
 }
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -14,10 +14,11 @@
 
 }
 
-Mirror::Mirror(const Protocol& protocol, const Options& options, RandomSource random)
+Mirror::Mirror(const Protocol& protocol, const Options& options, RandomSource random, DocumentOrder order)
     : m_protocol(protocol)
     , m_options(options)
     , m_random(std::move(random))
+    , m_order(std::move(order))
     , m_retryDelay(options.initialRetryDelay)
 {
 }
@@ -28,6 +29,7 @@
         return std::nullopt;
     m_isQueryPending = true;
     m_sentAt = now;
+    m_queryEra = m_era;
     ++m_queries;
     auto responseTimeout = m_options.responseTimeout;
     if (m_failures > 0) {
@@ -39,7 +41,8 @@
         return Query { Query::Kind::List, m_protocol.listTarget(m_lastListedKey), responseTimeout };
     // After a failure a watch does not wait: a long poll would delay the finding that the store is back.
     m_watchWait = m_failures > 0 ? Duration::zero() : m_options.watchWait;
-    return Query { Query::Kind::Watch, m_protocol.watchTarget(m_revision, m_watchWait), m_watchWait + responseTimeout };
+    return Query { Query::Kind::Watch, m_protocol.watchTarget(storeRevisionOf(m_revision), m_watchWait),
+        m_watchWait + responseTimeout };
 }
 
 bool Mirror::handleResponse(
@@ -47,6 +50,16 @@
 {
     if (!m_isQueryPending)
         return false;
+    if (era && m_era && *era < *m_era) {
+        handleFailure("an answer from a copy that the store has replaced", now);
+        return false;
+    }
+    // Only the first page of a listing holds for whichever copy it comes from.
+    const bool isFirstPage = m_isListing && m_listedItems.empty();
+    if (era && m_queryEra && *era != *m_queryEra && !isFirstPage) {
+        startEra(*era, now);
+        return false;
+    }
     if (era)
         m_era = era;
     if (status == statusOk) {
@@ -63,6 +76,14 @@
     return false;
 }
 
+void Mirror::startEra(std::uint64_t era, TimePoint now)
+{
+    m_era = era;
+    m_isListing = true;
+    m_failure = "the store was restored from another copy";
+    restartQuery(now);
+}
+
 void Mirror::handleFailure(std::string detail, TimePoint now)
 {
     if (!m_isQueryPending)
@@ -110,9 +131,11 @@
     }
     // The pages are not one snapshot: the watch starts at the first page's revision, so that no change between the
     // pages is missed. It repeats the changes that later pages show already.
+    const auto era = m_era.value_or(1);
     if (m_listedItems.empty())
-        m_listRevision = page->storeRevision;
+        m_listRevision = toRevision(era, page->storeRevision);
     for (auto& item : page->items) {
+        item.revision = toRevision(era, item.revision);
         m_lastListedKey = item.key;
         m_listedItems[item.key] = std::move(item);
     }
@@ -130,6 +153,11 @@
 bool Mirror::finishListing(TimePoint now)
 {
     extendGraceAfterOutage(now);
+    if (m_isComplete && !isSameEra(m_revision, m_listRevision)) {
+        // Live owners write their items again. The items of the earlier era are no base for incremental changes.
+        m_graceUntil = now + m_options.lapseGrace;
+        m_forgottenRevision = toRevision(eraOf(m_listRevision), 0);
+    }
     bool hasChanged = !m_isComplete;
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items) {
@@ -157,7 +185,7 @@
 
 bool Mirror::onChanges(std::string_view body, TimePoint now)
 {
-    const auto changes = m_protocol.decodeChanges(body);
+    auto changes = m_protocol.decodeChanges(body);
     if (!changes) {
         m_isQueryPending = true;
         handleFailure(changes.error().what, now);
@@ -165,12 +193,14 @@
     }
     extendGraceAfterOutage(now);
     bool hasChanged = false;
-    for (const auto& change : changes->changes) {
-        const auto& item = change.item;
+    const auto era = m_era.value_or(1);
+    for (auto& change : changes->changes) {
+        auto& item = change.item;
+        item.revision = toRevision(era, item.revision);
         hasChanged = (change.isRemoved ? removeItem(item.key, item.revision, m_graceUntil, now) : storeItem(item))
             || hasChanged;
     }
-    m_revision = std::max(m_revision, changes->storeRevision);
+    m_revision = std::max(m_revision, toRevision(era, changes->storeRevision));
     // A watch that waited in full without a change proves that nothing had changed by the end of its wait; any other
     // response proves only the time of sending.
     const bool hasWaitedInFull = changes->changes.empty() && now - m_sentAt + watchTolerance >= m_watchWait;
@@ -185,8 +215,13 @@
     const auto removed = m_removals.find(item.key);
     if (removed != m_removals.end()) {
         // A delta of another daemon may hold a state from before the removal.
-        if (item.revision <= removed->second)
+        if (item.revision <= removed->second.revision)
             return false;
+        if (compareAcrossEras(item, removed->second.revision, removed->second.value) <= 0) {
+            removed->second.revision = item.revision;
+            m_changeRevision = std::max(m_changeRevision, item.revision);
+            return false;
+        }
         m_removals.erase(removed);
     }
     m_lapsed.erase(item.key);
@@ -195,17 +230,31 @@
     // Repeated and older states of an item are ignored.
     if (kept.revision >= item.revision)
         return false;
+    if (compareAcrossEras(item, kept.revision, kept.value) < 0) {
+        kept.revision = item.revision;
+        return false;
+    }
     kept = item;
     return true;
 }
 
+std::partial_ordering Mirror::compareAcrossEras(const Item& item, Revision known, std::string_view knownValue) const
+{
+    if (!m_order || known == 0 || isSameEra(item.revision, known))
+        return std::partial_ordering::unordered;
+    return m_order(item.key, item.value, knownValue);
+}
+
 bool Mirror::removeItem(const std::string& key, std::uint64_t revision, TimePoint keptUntil, TimePoint now)
 {
     const auto found = m_items.find(key);
     if (found != m_items.end() && found->second.revision > revision)
         return false;
     m_changeRevision = std::max(m_changeRevision, revision);
-    m_removals[key] = revision;
+    auto& removed = m_removals[key];
+    removed.revision = revision;
+    if (found != m_items.end())
+        removed.value = found->second.value;
     if (m_removals.size() > m_options.maxRemovals) {
         m_forgottenRevision = m_changeRevision;
         m_removals.clear();
@@ -231,13 +280,13 @@
         if (delta.isFull || item.revision > revision)
             delta.items.push_back(item);
     }
-    for (const auto& [key, removalRevision] : m_removals) {
-        if (removalRevision <= revision)
+    for (const auto& [key, removed] : m_removals) {
+        if (removed.revision <= revision)
             continue;
         const auto lapsed = m_lapsed.find(key);
         const auto grace
             = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
-        delta.removals.push_back({ key, removalRevision, grace });
+        delta.removals.push_back({ key, removed.revision, grace });
     }
     return delta;
 }
@@ -250,6 +299,11 @@
     // An older copy may hold items whose removal this mirror was never told of, since it was listed after them.
     if (delta.isFull && m_isComplete && delta.completeRevision < m_revision)
         return false;
+    const bool isLaterEra = m_isComplete && !isSameEra(m_revision, delta.completeRevision);
+    if (isLaterEra) {
+        m_graceUntil = now + m_options.lapseGrace;
+        m_forgottenRevision = toRevision(eraOf(delta.completeRevision), 0);
+    }
     bool hasChanged = false;
     if (delta.isFull) {
         std::set<std::string_view> present;
@@ -261,13 +315,15 @@
                 missing.push_back(key);
         }
         for (const auto& key : missing)
-            hasChanged = removeItem(key, delta.completeRevision, now, now) || hasChanged;
+            hasChanged = removeItem(key, delta.completeRevision, isLaterEra ? m_graceUntil : now, now) || hasChanged;
     }
     for (const auto& item : delta.items)
         hasChanged = storeItem(item) || hasChanged;
     for (const auto& removal : delta.removals)
         hasChanged = removeItem(removal.key, removal.revision, now + removal.grace, now) || hasChanged;
     m_revision = std::max(m_revision, delta.completeRevision);
+    if (isLaterEra)
+        m_era = eraOf(m_revision);
     confirmCurrent(now);
     if (!m_isComplete && delta.isFull) {
         m_isComplete = true;
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "store/Protocol.h"
+#include "store/Revision.h"
 #include <algorithm>
+#include <compare>
 #include <functional>
 #include <map>
 
@@ -40,8 +42,9 @@
 /// @brief Mirrors the items of the store, and tracks how fresh the mirror is. No I/O.
 ///
 /// At most one query is pending at a time: first a listing, page by page, then one long-poll watch after another. The
-/// items stay through an outage of the store. Leases may lapse in an outage while their owners are alive, so that items
-/// that are missing after it are kept for a grace period.
+/// items stay through an outage of the store, and through its restoration from an older copy: items whose documents in
+/// the copy are older than the known ones, or are known to have been removed, are not taken. Leases may lapse in an
+/// outage while their owners are alive, so that items that are missing after it are kept for a grace period.
 class Mirror {
 public:
     struct Options {
@@ -78,7 +81,11 @@
     /// Returns uniform numbers in [0, 1), for the jitter of retry delays.
     using RandomSource = std::function<double()>;
 
-    Mirror(const Protocol& protocol, const Options& options, RandomSource random);
+    /// Compares the states that two documents of a key describe, if they say which one is later.
+    using DocumentOrder
+        = std::function<std::partial_ordering(std::string_view key, std::string_view left, std::string_view right)>;
+
+    Mirror(const Protocol& protocol, const Options& options, RandomSource random, DocumentOrder order = {});
 
     /// @brief Starts the next query, if one is due and none is pending.
     std::optional<Query> nextQuery(TimePoint now);
@@ -122,7 +129,7 @@
     bool isComplete() const { return m_isComplete; }
     /// @brief Latest time at which the store's own responses prove the items current; empty before the first.
     std::optional<TimePoint> provenAt() const { return m_provenAt; }
-    /// @brief Era of the store's last answer that stated one.
+    /// @brief Newest era of the store that this mirror, or another one that it follows, has seen.
     std::optional<std::uint64_t> era() const { return m_era; }
     /// @brief Queries started so far.
     std::uint64_t queryCount() const { return m_queries; }
@@ -130,6 +137,16 @@
     const std::string& failure() const { return m_failure; }
 
 private:
+    /// A removed item, for deltas, and for copies of the store from before the removal.
+    struct Removed {
+        Revision revision = 0;
+        std::string value;
+    };
+
+    /// Forgets an unfinished listing and lists the store anew, because it answers from another copy of its data.
+    void startEra(std::uint64_t era, TimePoint now);
+    /// Whether a document that belongs to a later era than a known one describes an earlier state, or the same one.
+    std::partial_ordering compareAcrossEras(const Item& item, Revision known, std::string_view knownValue) const;
     bool onPage(std::string_view body, TimePoint now);
     bool onChanges(std::string_view body, TimePoint now);
     bool storeItem(const Item& item);
@@ -141,15 +158,18 @@
     const Protocol& m_protocol;
     Options m_options;
     RandomSource m_random;
+    DocumentOrder m_order;
     std::map<std::string, Item> m_items;
     /// Keys of items that are missing after an outage, with the end of their grace periods.
     std::map<std::string, TimePoint> m_lapsed;
-    /// Keys of removed items with the revisions of their removals, for deltas.
-    std::map<std::string, std::uint64_t> m_removals;
+    std::map<std::string, Removed> m_removals;
     /// Removals up to this revision are forgotten; a delta since an older one is a full copy.
     std::uint64_t m_forgottenRevision = 0;
     std::uint64_t m_changeRevision = 0;
+    /// Era of the store that the mirror belongs to.
     std::optional<std::uint64_t> m_era;
+    /// The same when the pending query was sent.
+    std::optional<std::uint64_t> m_queryEra;
     /// Whether this mirror queries the store itself.
     bool m_isReading = true;
     bool m_isStandby = false;
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -113,3 +113,19 @@
     CHECK_FALSE(protocol.decodeEra({}));
     CHECK(protocol.listTarget("servers/i 1") == "/kv-range?pathPrefix=&after=servers/i%201");
 }
+
+TEST_CASE("of two entries of a runner the one of the later start, or with the higher count, is later; a configuration "
+          "is by version")
+{
+    const platform::StoreDocumentCodec codec;
+    const auto entry = [](int born, int sequence) {
+        return R"({"born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) + "}";
+    };
+    CHECK(codec.compareStates("servers/r", entry(1, 4), entry(1, 5)) < 0);
+    CHECK(codec.compareStates("servers/r", entry(2, 1), entry(1, 5)) > 0);
+    CHECK(codec.compareStates("servers/r", entry(1, 4), entry(1, 4)) == 0);
+    CHECK(codec.compareStates("op/config", R"({"version":7})", R"({"version":12})") < 0);
+    CHECK(codec.compareStates("servers/r", "garbage", entry(1, 4)) == std::partial_ordering::unordered);
+    CHECK(codec.compareStates("servers/r", "{}", entry(1, 4)) == std::partial_ordering::unordered);
+    CHECK(codec.compareStates("other", entry(1, 4), entry(1, 5)) == std::partial_ordering::unordered);
+}
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -100,15 +100,24 @@
 struct Fixture {
     platform::StoreProtocol protocol;
     RestorableStore store;
-    Mirror mirror { protocol, {}, [] { return 0.5; } };
+    Mirror mirror = createMirror();
     TimePoint now = start;
 
+    /// A mirror of documents that begin with the number of their state: "2-a" is later than "1-a".
+    Mirror createMirror() const
+    {
+        return { protocol, {}, [] { return 0.5; },
+            [](std::string_view, std::string_view left, std::string_view right) -> std::partial_ordering {
+                return left.front() <=> right.front();
+            } };
+    }
+
     Fixture()
     {
-        store.write("a", "a-1");
-        store.write("b", "b-1");
+        store.write("a", "1-a");
+        store.write("b", "1-b");
         store.save();
-        store.write("a", "a-2");
+        store.write("a", "2-a");
         run();
     }
 
@@ -133,13 +142,95 @@
     for (const int writes : { 1, 2, 5 }) {
         CAPTURE(writes);
         Fixture fixture;
-        REQUIRE(fixture.valueOf("a") == "a-2");
+        REQUIRE(fixture.valueOf("a") == "2-a");
         fixture.store.restore();
         SUBCASE("after the mirror noticed it") { fixture.run(); }
         SUBCASE("before the mirror noticed it") { }
         for (int i = 0; i < writes; ++i)
-            fixture.store.write("b", "b-" + std::to_string(2 + i));
+            fixture.store.write("b", std::to_string(2 + i) + "-b");
+        fixture.run();
+        CHECK(fixture.valueOf("b") == std::to_string(1 + writes) + "-b");
+    }
+}
+
+TEST_CASE("a restored copy does not bring back an older document, nor an item that was removed since")
+{
+    Fixture fixture;
+    fixture.store.remove("b");
+    fixture.run();
+    REQUIRE(fixture.valueOf("b").empty());
+    fixture.store.restore();
+    fixture.run();
+    CHECK(fixture.valueOf("a") == "2-a");
+    CHECK(fixture.valueOf("b").empty());
+    // Other daemons get the same, and those that start afresh are told of the removal.
+    auto other = fixture.createMirror();
+    other.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+    CHECK(other.items().at("a").value == "2-a");
+    CHECK_FALSE(other.items().contains("b"));
+    // The owner writes it again.
+    fixture.store.write("b", "2-b");
+    fixture.store.write("a", "3-a");
+    fixture.run();
+    CHECK(fixture.valueOf("a") == "3-a");
+    CHECK(fixture.valueOf("b") == "2-b");
+}
+
+TEST_CASE("an item that a restored copy lacks is kept for the time in which its owner writes it again")
+{
+    for (const bool isWrittenAgain : { true, false }) {
+        CAPTURE(isWrittenAgain);
+        Fixture fixture;
+        fixture.store.write("c", "1-c");
         fixture.run();
-        CHECK(fixture.valueOf("b") == "b-" + std::to_string(1 + writes));
+        fixture.store.restore();
+        fixture.run();
+        CHECK(fixture.valueOf("c") == "1-c");
+        if (isWrittenAgain)
+            fixture.store.write("c", "2-c");
+        fixture.run(std::chrono::seconds(4));
+        CHECK(fixture.valueOf("c") == (isWrittenAgain ? "2-c" : ""));
     }
 }
+
+TEST_CASE("a mirror that follows another one learns of the restored store through it")
+{
+    Fixture fixture;
+    auto follower = fixture.createMirror();
+    follower.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+    follower.setReading(false);
+    // A change of which only the follower knows is lost with the store.
+    store::Delta lost { follower.completeRevision(), follower.completeRevision() + 1, {}, {}, false };
+    lost.items.push_back({ "c", "1-c", lost.completeRevision });
+    follower.merge(lost, fixture.now);
+    fixture.store.restore();
+    fixture.store.write("b", "2-b");
+    fixture.run();
+    REQUIRE(fixture.mirror.completeRevision() > follower.completeRevision());
+    const auto delta = fixture.mirror.changesSince(follower.completeRevision(), fixture.now);
+    CHECK(delta.isFull);
+    CHECK(follower.merge(delta, fixture.now));
+    CHECK(follower.items().at("b").value == "2-b");
+    CHECK(follower.items().at("a").value == "2-a");
+    CHECK(follower.completeRevision() == fixture.mirror.completeRevision());
+    follower.dropExpired(fixture.now + std::chrono::seconds(5));
+    CHECK_FALSE(follower.items().contains("c"));
+    // Its own query goes on in the new era.
+    follower.setReading(true);
+    fixture.store.write("b", "3-b");
+    fixture.store.answer(follower, fixture.now + std::chrono::seconds(6));
+    CHECK(follower.items().at("b").value == "3-b");
+}
+
+TEST_CASE("an answer from the copy that was replaced is not taken")
+{
+    Fixture fixture;
+    fixture.store.restore();
+    fixture.run();
+    const auto revision = fixture.mirror.completeRevision();
+    REQUIRE(fixture.mirror.nextQuery(fixture.now + std::chrono::seconds(1)));
+    const auto body = R"({"events":[{"key":"b","value":"OS1i","revision":99}],"storeRevision":99})";
+    CHECK_FALSE(fixture.mirror.handleResponse(200, body, fixture.now + std::chrono::seconds(1), 1));
+    CHECK(fixture.valueOf("b") == "1-b");
+    CHECK(fixture.mirror.completeRevision() == revision);
+}
