Open new connections between daemons after one has fallen silent

Open connections may fall silent for good while new ones work. A daemon that lacks a change fetched it from one daemon after the other, each time over a kept connection that had to time out first: 0.7 s for each daemon that it had fetched from before.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -13,6 +13,8 @@
 
     constexpr std::string_view changesTarget = "/mirror?since=";
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
+    /// Time after a fetch that timed out in which fetches open connections instead of reusing them.
+    constexpr Duration newConnectionsPeriod = std::chrono::seconds(30);
     /// Time behind another daemon that is logged; shorter times are usual while a change spreads.
     constexpr Duration loggedTimeBehind = std::chrono::milliseconds(600);
     /// Age of the newest proof from which a daemon that reports to an aggregator asks the readers itself.
@@ -221,10 +223,14 @@
         + std::to_string(m_mirror.isComplete() ? m_mirror.completeRevision() : 0);
     call.timeout = fetchTimeout;
     call.connectTimeout = fetchTimeout;
+    call.needsNewConnection = currentTime() < m_newConnectionsUntil;
     m_client.fetch(call, [this, ip](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
         constexpr std::uint16_t statusOk = 200;
         m_isFetchingChanges = false;
         if (result.end != upstream::CallEnd::Complete || status != statusOk) {
+            // What silenced one connection may have silenced those to the other daemons as well.
+            if (result.end == upstream::CallEnd::TimedOut)
+                m_newConnectionsUntil = currentTime() + newConnectionsPeriod;
             telemetry::logInfo("changes-not-fetched",
                 { { "peer", ip }, { "status", static_cast<int>(status) }, { "detail", result.detail } });
             return;
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -85,6 +85,7 @@
     std::size_t m_liveCount = 0;
     TimePoint m_nextMembersLogAt {};
     bool m_isFetchingChanges = false;
+    TimePoint m_newConnectionsUntil {};
     bool m_wasReader = true;
 };
 
--- a/src/upstream/CurlClient.cpp
+++ b/src/upstream/CurlClient.cpp
@@ -195,10 +195,10 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer.body.data());
         }
-        if (!call.isRepeatable) {
+        if (!call.isRepeatable || call.needsNewConnection)
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        if (!call.isRepeatable)
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-        }
     }
 
     static int onSocketCallback(CURL*, curl_socket_t handle, int awaitedEvents, void* self, void*)
--- a/src/upstream/CurlClient.h
+++ b/src/upstream/CurlClient.h
@@ -27,6 +27,8 @@
     /// False for a call that must be sent at most once. It uses a new connection, since libcurl resends a request whose
     /// reused connection turns out to be closed.
     bool isRepeatable = true;
+    /// Whether to open a connection instead of reusing one, which may have fallen silent.
+    bool needsNewConnection = false;
     /// Time limit for the whole call.
     Duration timeout = std::chrono::seconds(30);
     Duration connectTimeout = std::chrono::milliseconds(1000);
