Divide the fleet's retry allowance by its size

Cause: each daemon might use a 16th of the fixed allowance, which more than 16 daemons exceed together. Each now divides by the daemons that it knows, and by 16 at least, as before in small fleets.

--- a/src/dispatch/WindowedRetryBudget.cpp
+++ b/src/dispatch/WindowedRetryBudget.cpp
@@ -1,12 +1,22 @@
 #include "dispatch/WindowedRetryBudget.h"
 
+#include <algorithm>
+
 namespace eelgrassford::dispatch {
 
 namespace {
 
     /// Buckets that make up one window. The ring has more buckets; those outside the window are skipped.
     constexpr std::int64_t bucketsPerWindow = 50;
+    /// Least number of daemons among which the allowance is divided. Twice the size of small fleets, since daemons are
+    /// added and restarted.
+    constexpr std::size_t minDaemonsForAllowance = 16;
+
+}
 
+double WindowedRetryBudget::shareOfAllowance(double fleetAllowance, std::size_t daemons)
+{
+    return fleetAllowance / static_cast<double>(std::max(daemons, minDaemonsForAllowance));
 }
 
 WindowedRetryBudget::WindowedRetryBudget(const Options& options, TimePoint startedAt)
--- a/src/dispatch/WindowedRetryBudget.h
+++ b/src/dispatch/WindowedRetryBudget.h
@@ -2,6 +2,7 @@
 
 #include "common/Time.h"
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace eelgrassford::dispatch {
@@ -23,6 +24,10 @@
         Duration window = std::chrono::seconds(10);
     };
 
+    /// @brief Part of the fleet's allowance that each daemon may use.
+    /// @param daemons number of daemons that this one knows, itself included
+    static double shareOfAllowance(double fleetAllowance, std::size_t daemons);
+
     WindowedRetryBudget(const Options& options, TimePoint startedAt);
 
     void setOptions(const Options& options) { m_options = options; }
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -23,9 +23,6 @@
     constexpr Duration listenerQuietTime = std::chrono::milliseconds(1000);
     /// Time before the end of the grace period at which the remaining requests are cut off.
     constexpr Duration cutoffMargin = std::chrono::milliseconds(400);
-    /// Number of hosts among which the fleet's retry allowance is divided. Twice the size of present fleets, since
-    /// hosts are added and restarted.
-    constexpr double allowanceDivisor = 16.0;
     /// Share of the fleet's retry ratio that one daemon applies to its own requests; the rest covers late counting.
     constexpr double localRatioShare = 0.85;
     /// Share of the load bound up to which placement fills a runner; the rest covers load that is not known yet.
@@ -34,13 +31,14 @@
     /// change late.
     constexpr double leaseShare = 0.8;
 
-    proxy::RouterOptions routerOptions(const RelaySettings& settings)
+    proxy::RouterOptions routerOptions(const RelaySettings& settings, std::size_t daemons)
     {
         proxy::RouterOptions options;
         options.dataCentre = settings.dataCentre;
         options.credentialLease = fromSeconds(toSeconds(settings.revocationDeadline) * leaseShare);
         options.retryBudget.ratio = settings.retryRatio * localRatioShare;
-        options.retryBudget.allowance = settings.retryAllowance / allowanceDivisor;
+        options.retryBudget.allowance
+            = dispatch::WindowedRetryBudget::shareOfAllowance(settings.retryAllowance, daemons);
         options.retryBudget.window = settings.retryWindow;
         options.placement.loadBound = settings.loadBound * placementBoundShare;
         return options;
@@ -51,7 +49,7 @@
 TrafficLoop::TrafficLoop(const RelaySettings& settings, const proxy::Codec& codec, telemetry::Metrics& metrics)
     : m_settings(settings)
     , m_tickTimer(m_context, tickInterval, [this](TimePoint now) { tick(now); })
-    , m_router(m_context, routerOptions(settings), codec, metrics, currentTime)
+    , m_router(m_context, routerOptions(settings, m_daemons), codec, metrics, currentTime)
     , m_server(m_context, settings.callerAddress.ip, settings.callerAddress.port, currentTime,
           [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
               m_router.handle(std::move(request), responder);
@@ -95,7 +93,7 @@
 {
     asio::post(m_context, [this, settings] {
         m_settings = settings;
-        m_router.setOptions(routerOptions(settings));
+        m_router.setOptions(routerOptions(settings, m_daemons));
     });
 }
 
@@ -121,7 +119,11 @@
 
 void TrafficLoop::setFleet(std::vector<std::string> otherIps)
 {
-    asio::post(m_context, [this, otherIps = std::move(otherIps)] { m_router.setFleet(m_settings.ip, otherIps); });
+    asio::post(m_context, [this, otherIps = std::move(otherIps)] {
+        m_daemons = otherIps.size() + 1;
+        m_router.setFleet(m_settings.ip, otherIps);
+        m_router.setOptions(routerOptions(m_settings, m_daemons));
+    });
 }
 
 void TrafficLoop::beginStop(std::function<void()> onStopped)
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -31,7 +31,7 @@
     void mergeCrashRecords(std::vector<dispatch::CrashRecord> records);
     /// @brief Merges limits of runners that other daemons know.
     void mergeLimits(std::vector<fleet::RunnerLimit> limits);
-    /// @brief Sets the other daemons, among which the limits of runners are shared.
+    /// @brief Sets the other daemons, among which the limits of runners and the retry allowance are shared.
     void setFleet(std::vector<std::string> otherIps);
     /// @brief Begins a graceful stop.
     /// @param onStopped called on this loop's thread once no request is in flight or the grace period is over
@@ -43,6 +43,8 @@
     void tickStop(TimePoint now);
 
     RelaySettings m_settings;
+    /// Daemons of the fleet, this one included.
+    std::size_t m_daemons = 1;
     asio::io_context m_context { 1 };
     daemon::PeriodicTimer m_tickTimer;
     proxy::Router m_router;
--- a/tests/dispatch/WindowedRetryBudgetTest.cpp
+++ b/tests/dispatch/WindowedRetryBudgetTest.cpp
@@ -34,25 +34,26 @@
     CHECK(budget.tryTake(start + window));
 }
 
-TEST_CASE("retries of all daemons stay within the budget in every sliding window while daemons restart")
+namespace {
+
+/// Replays a fleet whose daemons get bursts and quiet periods of requests, and restart now and then. Each takes every
+/// retry that its budget allows at once. Checks each sliding window.
+void replayRetries(std::size_t daemons, double allowance, int steps, Duration stepTime)
 {
-    // Eight daemons get bursts and quiet periods of requests, and each takes every retry that its budget allows at
-    // once.
     constexpr double ratio = 0.2;
-    constexpr double allowance = 54.0;
-    constexpr std::size_t daemons = 8;
+    const auto share = WindowedRetryBudget::shareOfAllowance(allowance, daemons);
     std::mt19937_64 random(20261204);
     std::vector<WindowedRetryBudget> budgets;
     for (std::size_t i = 0; i < daemons; ++i)
-        budgets.emplace_back(options(ratio, allowance / 16.0), start);
+        budgets.emplace_back(options(ratio, share), start);
     std::deque<TimePoint> firstAttempts;
     std::deque<TimePoint> retries;
-    for (int step = 0; step < 12000; ++step) {
-        const auto now = start + milliseconds(10) * step;
+    for (int step = 0; step < steps; ++step) {
+        const auto now = start + stepTime * step;
         const bool isBurst = (step / 700) % 3 == 0;
         const auto daemon = random() % daemons;
         if (random() % 1000 == 0)
-            budgets[daemon] = WindowedRetryBudget(options(ratio, allowance / 16.0), now);
+            budgets[daemon] = WindowedRetryBudget(options(ratio, share), now);
         if (isBurst || random() % 10 == 0) {
             budgets[daemon].recordFirstAttempt(now);
             firstAttempts.push_back(now);
@@ -68,3 +69,22 @@
             retries.pop_front();
     }
 }
+
+}
+
+TEST_CASE("retries of all daemons stay within the budget in every sliding window while daemons restart")
+{
+    replayRetries(8, 54.0, 12000, milliseconds(10));
+}
+
+TEST_CASE("retries of a fleet of any size stay within the budget in every sliding window")
+{
+    for (const auto& [daemons, allowance] : { std::pair { 74u, 160.0 }, { 295u, 630.0 } }) {
+        CAPTURE(daemons);
+        replayRetries(daemons, allowance, 14000, milliseconds(2));
+    }
+    for (const std::size_t daemons : { 1u, 7u, 16u, 74u, 295u, 710u }) {
+        CAPTURE(daemons);
+        CHECK(static_cast<double>(daemons) * WindowedRetryBudget::shareOfAllowance(630.0, daemons) <= 630.0 * 1.0001);
+    }
+}
