Play a restored store and limited runners over the wire

The stand-in store can be restored from a copy, and the stand-in runner states a limit of its request rate. The relay test checks that nothing reverts, that later changes come into force, and that requests beyond the limits are refused with the time to come back until the limits end.

--- a/standins/PlatformRunner.cpp
+++ b/standins/PlatformRunner.cpp
@@ -61,6 +61,8 @@
             }
             gateway::Headers headers { { "X-Attempt-Id", id }, { "X-Response-Signature", "digest-of-" + id },
                 { "Eelgrassford-Runner", m_options.name }, { "X-Server-Load", "1,0,8" } };
+            if (m_fault == "limited")
+                headers.emplace_back("Server-Limit", "1.0");
             if (request.path().find("/stream/") == std::string_view::npos) {
                 runAfter(m_options.runSeconds, [responder, headers, text = request.target + " " + request.body + "\n"] {
                     responder->respond({ 200, headers, text });
--- a/standins/Store.cpp
+++ b/standins/Store.cpp
@@ -34,7 +34,7 @@
     }
 
     /// Key-value store with revisions that is listed and watched through the API of the users' platform. Tests write
-    /// with PUT and DELETE /item/KEY.
+    /// with PUT and DELETE /item/KEY, and restore it from the copy that /save made with /restore.
     class Store : public std::enable_shared_from_this<Store> {
     public:
         explicit Store(asio::io_context& context)
@@ -52,6 +52,12 @@
             } else if (path == "/fault") {
                 m_fault = queryParameter(request.query(), "name");
                 responder->respond({ 200, {}, "fault " + m_fault + "\n" });
+            } else if (path == "/save") {
+                m_copy = { m_entries, m_revision };
+                responder->respond({ 200, {}, std::to_string(m_revision) + "\n" });
+            } else if (path == "/restore") {
+                std::tie(m_entries, m_revision) = m_copy;
+                responder->respond({ 200, {}, std::to_string(++m_era) + "\n" });
             } else if (path == "/calls") {
                 responder->respond({ 200, {}, std::to_string(m_callCount) + "\n" });
             } else {
@@ -80,7 +86,7 @@
             else if (m_fault == "busy")
                 responder->respond({ 503, {}, "" });
             else if (path == "/kv-range")
-                responder->respond({ 200, {}, listItems().dump() });
+                responder->respond({ 200, eraHeader(), listItems().dump() });
             else if (path == "/kv-watch")
                 watch(numericParameter(request, "after"),
                     std::chrono::steady_clock::now() + std::chrono::milliseconds(numericParameter(request, "waitMs")),
@@ -89,6 +95,8 @@
                 responder->respond({ 404, {}, "" });
         }
 
+        gateway::Headers eraHeader() const { return { { "Store-Era", std::to_string(m_era) } }; }
+
         Json listItems() const
         {
             auto items = Json::array();
@@ -105,6 +113,10 @@
         void watch(std::uint64_t afterRevision, std::chrono::steady_clock::time_point deadline,
             const std::shared_ptr<Responder>& responder)
         {
+            if (afterRevision > m_revision) {
+                responder->respond({ 410, eraHeader(), "" });
+                return;
+            }
             auto events = Json::array();
             for (const auto& [key, entry] : m_entries) {
                 if (entry.revision <= afterRevision)
@@ -116,7 +128,8 @@
                         { { "key", key }, { "value", encodeBase64(entry.value) }, { "revision", entry.revision } });
             }
             if (!events.empty() || std::chrono::steady_clock::now() >= deadline) {
-                responder->respond({ 200, {}, Json { { "events", events }, { "storeRevision", m_revision } }.dump() });
+                responder->respond(
+                    { 200, eraHeader(), Json { { "events", events }, { "storeRevision", m_revision } }.dump() });
                 return;
             }
             auto timer = std::make_shared<asio::steady_timer>(m_context, pollInterval);
@@ -125,8 +138,13 @@
         }
 
         asio::io_context& m_context;
-        std::map<std::string, Entry> m_entries;
+        using Entries = std::map<std::string, Entry>;
+
+        Entries m_entries;
         std::uint64_t m_revision = 1;
+        /// Rises with each restoration.
+        std::uint64_t m_era = 1;
+        std::pair<Entries, std::uint64_t> m_copy;
         std::uint64_t m_callCount = 0;
         std::string m_fault;
     };
--- a/tests/e2e/relay.test.sh
+++ b/tests/e2e/relay.test.sh
@@ -155,6 +155,27 @@
 curl -sf "$store/fault?name=none" > /dev/null
 for number in 1 2 3; do wait_until "daemon $number serves again" answers "$number" /look/1 "d-3-$number"; done
 
+echo "== the store comes back from an older copy: nothing reverts, and later changes come into force"
+curl -sf "$store/save" > /dev/null
+publish 7 key-1 /find/ > /dev/null
+for number in 1 2 3; do wait_until "daemon $number adopts" field_is "$number" .configuration_revision 7; done
+curl -sf "$store/restore" > /dev/null
+wait_until "a daemon notices it" grep -q 'event=store-era era=2 before=1' "$work"/daemon-*.log
+check "nothing reverts" answers 1 /find/1 e-1
+publish 8 key-1 > /dev/null
+for number in 1 2 3; do wait_until "daemon $number adopts" field_is "$number" .configuration_revision 8; done
+for number in 1 2 3; do check "daemon $number serves by it" answers "$number" /look/1 "e-2-$number"; done
+
+echo "== runners that limit their request rate get no more, and as many as before when the limit ends"
+for number in 2 3; do fault "$number" limited > /dev/null; done
+round=0
+is_limited() { round=$((round + 1)); refuses "$1" /look/1 "m-$round" 503 && grep -q rate-limited "$work/body"; }
+for number in 1 2 3; do wait_until "daemon $number refuses what exceeds the limits" is_limited "$number"; done
+check "with the time to come back" grep -qi '^Retry-After' "$work/headers"
+for number in 2 3; do fault "$number" none > /dev/null; done
+is_unlimited() { round=$((round + 1)); for i in 1 2 3 4 5 6; do answers "$1" /look/1 "n-$round-$i" || return 1; done; }
+for number in 1 2 3; do wait_until "daemon $number serves as before" is_unlimited "$number"; done
+
 echo "== a stop cuts no request"
 ask 3 /stream/1 stop-1 -d x > "$work/status" &
 asking=$!
