--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -245,6 +245,7 @@
     m_metrics.setGauge("eelgrassford_proof_age_seconds", m_provenAt ? toSeconds(now - *m_provenAt) : -1.0);
     m_metrics.setGauge("eelgrassford_members_heard", static_cast<double>(m_fleet.gossip().liveCount(now)));
     m_metrics.setGauge("eelgrassford_store_reader", m_fleet.isReader(now) ? 1.0 : 0.0);
+    m_metrics.setGauge("eelgrassford_store_era", static_cast<double>(m_mirror.era().value_or(0)));
     m_metrics.setTotal("eelgrassford_store_queries_total", static_cast<double>(m_mirror.queryCount()));
     m_metrics.setTotal("eelgrassford_peer_fetches_total", static_cast<double>(m_fleet.fetchCount()));
     m_metrics.setTotal("eelgrassford_fleet_sent_bytes_total", static_cast<double>(socket.sentBytes()));
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -410,6 +410,7 @@
 {
     m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(m_sessions.size()));
     std::map<std::string, std::map<std::string, double>> states;
+    std::map<std::string, double> limited;
     auto connections = m_removedRunnerConnections;
     for (const auto& [id, runner] : m_registry.runners()) {
         const auto& service = runner->entry.service;
@@ -419,6 +420,7 @@
                  { "suspended", !runner->entry.isLeaving && isSuspended },
                  { "usable", !runner->entry.isLeaving && !isSuspended } })
             counts[state] += isInState ? 1.0 : 0.0;
+        limited[service] += runner->limit.perSecond ? 1.0 : 0.0;
         const auto pool = m_pools.find(id);
         connections[service] += pool == m_pools.end() ? 0 : pool->second->openedCount();
     }
@@ -426,6 +428,8 @@
         for (const auto& [state, count] : counts)
             m_metrics.setGauge("eelgrassford_runners", count, { { "service", service }, { "state", state } });
     }
+    for (const auto& [service, count] : limited)
+        m_metrics.setGauge("eelgrassford_limited_runners", count, { { "service", service } });
     for (const auto& [service, count] : connections)
         m_metrics.setTotal(
             "eelgrassford_runner_connections_total", static_cast<double>(count), { { "service", service } });
