Split the token bucket from the shares of a limit, and bound the rates that are read

A file for each; the behaviour is the same. A stated rate beyond a thousand million requests a second is read as that, as its thousandths would not fit the messages.

--- a/src/runners/RateShare.h
+++ b/src/runners/LimitShare.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "common/Time.h"
+#include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace eelgrassford::runners {
@@ -14,7 +13,7 @@
 };
 
 /// @brief How daemons share the request rate that a runner accepts.
-struct RateShareOptions {
+struct LimitShareOptions {
     /// Part of the limit that the daemons use together; the rest covers daemons whose views of the fleet differ.
     double usedPart = 0.9;
     /// Daemons that share a limit, for each request per second of it. Each may save up one request, and these must not
@@ -28,38 +27,15 @@
 
 /// @brief Requests per second that this daemon may send to a runner.
 ///
+/// Load pattern: a runner in need states how many requests a second it takes from all daemons together. The fleet sends
+/// it several times that, and callers may surge after a calm time.
+///
 /// Rendezvous hashing chooses the daemons that may send to the runner, and each gets an equal part of its limit.
 /// Daemons that know the same members agree on them without messages. In a small fleet all are chosen.
 /// @param limit requests per second that the runner accepts from all daemons together
 /// @param runner hash that identifies the runner
 /// @return 0 if this daemon is not chosen
 /// @complexity linear in the number of daemons
-double shareOfLimit(double limit, std::uint64_t runner, const FleetView& fleet, const RateShareOptions& options = {});
-
-/// @brief Token bucket for the requests of this daemon to a runner that limits its rate. No I/O.
-///
-/// Load pattern: a runner in need states how many requests a second it takes from all daemons together. The fleet sends
-/// it several times that, and the callers of one daemon may come all at once.
-class RateShare {
-public:
-    /// @param tokens requests that may be sent at once, below 1; differs between daemons so that they do not send at
-    /// the same time
-    RateShare(double perSecond, double tokens, TimePoint now);
-
-    void setRate(double perSecond, TimePoint now);
-    double perSecond() const { return m_perSecond; }
-    bool isAvailable(TimePoint now) const;
-    /// @brief Time from which a request may be sent; empty if this daemon may send none.
-    std::optional<TimePoint> availableAt() const;
-    /// @brief Counts a request that is sent.
-    void take(TimePoint now);
-
-private:
-    double tokensAt(TimePoint now) const;
-
-    double m_perSecond;
-    double m_tokens;
-    TimePoint m_updatedAt;
-};
+double shareOfLimit(double limit, std::uint64_t runner, const FleetView& fleet, const LimitShareOptions& options = {});
 
 }
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -246,6 +246,7 @@
     if (runner.rateShare)
         runner.rateShare->setRate(share, now);
     else
+        // Daemons begin with different parts of a request, so that they do not send their first ones together.
         runner.rateShare.emplace(share, toUnitInterval(mix64(m_fleet.self, runner.identity)), now);
 }
 
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "runners/LimitShare.h"
 #include "runners/Runner.h"
 #include <functional>
 #include <map>
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/Time.h"
-#include "runners/RateShare.h"
 #include "runners/StatedLimit.h"
+#include "runners/TokenBucket.h"
 #include <cstdint>
 #include <string>
 
@@ -71,10 +71,10 @@
     std::uint32_t ownLoadAtReport = 0;
     /// Newest known statement of the request rate that it accepts.
     StatedLimit limit;
-    /// Whether a response to this daemon stated it, rather than another daemon.
+    /// Whether a response to this daemon stated it; otherwise another daemon told of it.
     bool isLimitOwn = false;
     /// This daemon's share of the limit; empty without a limit.
-    std::optional<RateShare> rateShare;
+    std::optional<TokenBucket> rateShare;
     /// Requests that this daemon sent to it while its rate was limited, since they were last logged.
     std::uint32_t sentWhileLimited = 0;
 
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -131,6 +131,8 @@
     CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).rateLimit);
     head.headers = { { "Server-Limit", "3.4" } };
     CHECK(platform::HeaderCodec().decodeResponse(head).rateLimit == 3.4);
+    head.headers = { { "Server-Limit", "1e300" } };
+    CHECK(platform::HeaderCodec().decodeResponse(head).rateLimit == 1e9);
     for (const char* text : { "", "x", "-1", "3.4x", "inf", "nan" }) {
         head.headers = { { "Server-Limit", text } };
         CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).rateLimit);
