Declare the gauges for limits and eras, and test that every metric is declared

Test: MetricsTest failed before on the two names.

Also: the soak lets runners limit their rates and restores the store from a copy.

--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -124,7 +124,7 @@
     /// Newest limits of runners, and ends of limits.
     std::vector<fleet::RunnerLimit> recentLimits(TimePoint now) const;
     /// Logs that a runner begins, changes or ends a limit.
-    /// @param source the request whose response said so, or empty if another daemon did
+    /// @param request attempt id of the request whose response said so; empty if another daemon told of it
     void logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const;
     /// Whether a probe that began at @a begunAt shows that its runner cannot be reached.
     bool isUnreachable(ProbeResult result, TimePoint begunAt) const;
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -43,6 +43,8 @@
         { "eelgrassford_members_heard", "Daemons heard of lately" },
         { "eelgrassford_store_reader", "1 when this daemon reads the store itself" },
         { "eelgrassford_runners", "Runners of a service by state" },
+        { "eelgrassford_limited_runners", "Runners of a service that limit their request rates" },
+        { "eelgrassford_store_era", "Era that the store states, which rises when it is restored; 0 without" },
         { "eelgrassford_service_under_way",
             "Requests that all daemons have under way at the usable runners of a service" },
         { "eelgrassford_service_bound", "Requests under way at which a service counts as fully loaded" },
--- a/tests/soak/Installation.cpp
+++ b/tests/soak/Installation.cpp
@@ -29,6 +29,7 @@
     : m_context(context)
     , m_options(options)
     , m_incarnations(options.runnerCount, 1)
+    , m_runnerStates(options.runnerCount, "ready")
 {
     std::filesystem::create_directories(m_options.work);
     for (std::size_t i = 0; i < m_options.daemonCount; ++i) {
@@ -149,10 +150,22 @@
 {
     const Json entry = { { "service", "pool" }, { "address", address(Subnet::RunnerLink, runner, trafficPort) },
         { "zone", "south-" + std::to_string(runner % m_options.daemonCount + 1) }, { "slots", runnerSlots },
-        { "state", state }, { "coldRemainingMs", 0 }, { "sequence", 1 }, { "born", m_incarnations[runner] } };
+        { "state", state }, { "coldRemainingMs", 0 }, { "sequence", ++m_sequence },
+        { "born", m_incarnations[runner] } };
+    m_runnerStates[runner] = state;
     return call(endpoint(Subnet::Store, 0, storePort), "PUT", "/item/servers/" + runnerName(runner), entry.dump());
 }
 
+bool Installation::saveStore() { return call(endpoint(Subnet::Store, 0, storePort), "GET", "/save"); }
+
+bool Installation::restoreStore(const std::vector<std::string>& keys)
+{
+    bool isDone = call(endpoint(Subnet::Store, 0, storePort), "GET", "/restore") && publish(keys);
+    for (std::size_t i = 0; i < m_options.runnerCount; ++i)
+        isDone = listRunner(i, std::string(m_runnerStates[i])) && isDone;
+    return isDone;
+}
+
 bool Installation::setStoreFault(std::string_view name)
 {
     return call(endpoint(Subnet::Store, 0, storePort), "GET", "/fault?name=" + std::string(name));
--- a/tests/soak/Installation.h
+++ b/tests/soak/Installation.h
@@ -34,6 +34,11 @@
     /// @return whether the store accepted it
     bool publish(const std::vector<std::string>& keys);
     bool listRunner(std::size_t runner, std::string_view state);
+    /// @brief Copies the data of the store, for restoreStore().
+    bool saveStore();
+    /// @brief Lets the store come back from the copy, and writes again what was published since: the configuration
+    /// under its next revision, and the runners.
+    bool restoreStore(const std::vector<std::string>& keys);
     bool setStoreFault(std::string_view name);
     bool setRunnerFault(std::size_t runner, std::string_view name);
     bool isReady(std::size_t daemon);
@@ -70,7 +75,11 @@
     std::vector<std::unique_ptr<LoopbackProxy>> m_storeLinks;
     std::vector<std::unique_ptr<LoopbackProxy>> m_runnerLinks;
     std::vector<std::uint64_t> m_incarnations;
+    /// State of each runner as it was listed last.
+    std::vector<std::string> m_runnerStates;
     std::uint64_t m_revision = 0;
+    /// Rises with each entry of a runner.
+    std::uint64_t m_sequence = 0;
 };
 
 }
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -37,6 +37,8 @@
         ActionName { Action::SlowRunnerLink, "slow-runner-link" },
         ActionName { Action::SilenceToRunner, "silence-to-runner" },
         ActionName { Action::SilenceFromRunner, "silence-from-runner" },
+        ActionName { Action::LimitRunner, "limit-runner" },
+        ActionName { Action::RestoreStore, "restore-store" },
     };
 
     constexpr std::size_t plannedActionCount = 5;
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -33,6 +33,8 @@
     SlowRunnerLink,
     SilenceToRunner,
     SilenceFromRunner,
+    LimitRunner,
+    RestoreStore,
 };
 
 std::string_view nameOf(Action action);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -201,6 +201,13 @@
     case Action::SilenceFromRunner:
         setLinkStateFor(m_installation.runnerLink(runner), { false, true, false, {} }, step.duration);
         return;
+    case Action::LimitRunner:
+        setRunnerFault("limited");
+        return;
+    case Action::RestoreStore:
+        m_installation.saveStore();
+        scheduleAfter(step.duration, [this] { m_installation.restoreStore(m_keys); });
+        return;
     }
 }
 
