Bind a watch of the store to the era from which it continues

A daemon that starts while the store is away takes the copy of another daemon before the store ever answered it. Its first watch after the return of the store from an older copy was taken for a continuation, as it had seen no era yet, and the changes before the revision of its copy were missed.

Test: RestoredStoreTest failed before (1-b in place of 2-b).

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -29,7 +29,7 @@
         return std::nullopt;
     m_isQueryPending = true;
     m_sentAt = now;
-    m_queryEra = m_era;
+    m_watchedRevision = m_revision;
     ++m_queries;
     auto responseTimeout = m_options.responseTimeout;
     if (m_failures > 0) {
@@ -56,7 +56,8 @@
     }
     // Only the first page of a listing holds for whichever copy it comes from.
     const bool isFirstPage = m_isListing && m_listedItems.empty();
-    if (era && m_queryEra && *era != *m_queryEra && !isFirstPage) {
+    const auto continuedRevision = m_isListing ? m_listRevision : m_watchedRevision;
+    if (era && !isFirstPage && !isSameEra(toRevision(*era, 0), continuedRevision)) {
         startEra(*era, now);
         return false;
     }
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -168,8 +168,8 @@
     std::uint64_t m_changeRevision = 0;
     /// Era of the store that the mirror belongs to.
     std::optional<std::uint64_t> m_era;
-    /// The same when the pending query was sent.
-    std::optional<std::uint64_t> m_queryEra;
+    /// Revision from which the pending watch continues.
+    Revision m_watchedRevision = 0;
     /// Whether this mirror queries the store itself.
     bool m_isReading = true;
     bool m_isStandby = false;
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -222,6 +222,24 @@
     CHECK(follower.items().at("b").value == "3-b");
 }
 
+TEST_CASE("a daemon that starts while the store is away misses no change of the restored store")
+{
+    // It has the copy of another daemon, from before the store was away, when it asks the store for the first time.
+    Fixture fixture;
+    auto started = fixture.createMirror();
+    REQUIRE(started.nextQuery(fixture.now));
+    started.handleFailure("the store is away", fixture.now);
+    started.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+    started.setReading(true);
+    fixture.store.restore();
+    fixture.store.write("b", "2-b");
+    fixture.store.write("c", "1-c");
+    for (int i = 0; i < 100; ++i)
+        fixture.store.answer(started, fixture.now += milliseconds(20));
+    CHECK(started.items().at("b").value == "2-b");
+    CHECK(started.items().at("c").value == "1-c");
+}
+
 TEST_CASE("an answer from the copy that was replaced is not taken")
 {
     Fixture fixture;
