Take only a delta of a later era for the beginning of one

Found on reading the change again: a delta of the era before that comes late counted as a change of era, and the deltas of this mirror for daemons that are still in that era became incremental, so that they would keep what the restored store lacks. Test: RestoredStoreTest failed before.

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -300,7 +300,7 @@
     // An older copy may hold items whose removal this mirror was never told of, since it was listed after them.
     if (delta.isFull && m_isComplete && delta.completeRevision < m_revision)
         return false;
-    const bool isLaterEra = m_isComplete && !isSameEra(m_revision, delta.completeRevision);
+    const bool isLaterEra = m_isComplete && eraOf(delta.completeRevision) > eraOf(m_revision);
     if (isLaterEra) {
         m_graceUntil = now + m_options.lapseGrace;
         m_forgottenRevision = toRevision(eraOf(delta.completeRevision), 0);
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -252,3 +252,14 @@
     CHECK(fixture.valueOf("b") == "1-b");
     CHECK(fixture.mirror.completeRevision() == revision);
 }
+
+TEST_CASE("a late delta of the era before does not make the mirror's deltas incremental for that era")
+{
+    Fixture fixture;
+    const auto before = fixture.mirror.completeRevision();
+    fixture.store.restore();
+    fixture.run();
+    REQUIRE(fixture.mirror.changesSince(before, fixture.now).isFull);
+    fixture.mirror.merge({ before, before, {}, {}, false }, fixture.now);
+    CHECK(fixture.mirror.changesSince(before, fixture.now).isFull);
+}
