--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -105,6 +105,7 @@
     isOver = true;
     for (auto& thread : threads)
         thread.join();
+    RECORD("runs at runners: %ld", ledger.total());
     bool isBroken = false;
     for (std::size_t i = 0; i < results.size(); ++i) {
         const auto& result = results[i];
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -152,6 +152,7 @@
     for (auto& thread : threads)
         thread.join();
     RECORD("%ld callers left", left.load());
+    RECORD("runs at runners: %ld", ledger.total());
     bool isBroken = false;
     for (std::size_t i = 0; i < results.size(); ++i) {
         const auto& result = results[i];
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -521,6 +521,15 @@
         return found == m_runs.end() ? 0 : found->second;
     }
 
+    long total()
+    {
+        const std::lock_guard lock(m_mutex);
+        long sum = 0;
+        for (const auto& entry : m_runs)
+            sum += entry.second;
+        return sum;
+    }
+
 private:
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
@@ -651,7 +660,7 @@
 /// A small installation: the store and some daemons, in a temporary folder.
 class Installation {
 public:
-    explicit Installation(int daemonCount)
+    explicit Installation(int daemonCount, bool isOneZone = false)
     {
         const int base = 100 + static_cast<int>(getpid() % 100);
         prefix = "127." + std::to_string(base) + ".";
@@ -661,8 +670,8 @@
         std::vector<std::string> seeds;
         for (int i = 1; i <= daemonCount; ++i) {
             const auto ip = prefix + "1." + std::to_string(i);
-            daemons.push_back(std::make_unique<Daemon>(
-                "edge-" + std::to_string(i), ip, "tas-south-" + std::string(1, static_cast<char>('a' + (i - 1) % 3))));
+            daemons.push_back(std::make_unique<Daemon>("edge-" + std::to_string(i), ip,
+                "tas-south-" + std::string(1, static_cast<char>('a' + (isOneZone ? 0 : (i - 1) % 3)))));
             if (seeds.size() < 3)
                 seeds.push_back(ip + ":" + std::to_string(daemons.back()->front));
         }
