--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -16,6 +16,15 @@
     constexpr int probeCount = 2;
     /// Hundreds digit of informational (1xx) status codes.
     constexpr std::uint16_t informationalClass = 1;
+    /// No process listens on this port, so that each connection attempt fails at once.
+    constexpr std::uint16_t unusedPort = 0;
+
+    asio::ip::tcp::endpoint endpointOf(const std::string& ip, std::uint16_t port)
+    {
+        asio::error_code error;
+        const auto address = asio::ip::make_address(ip, error);
+        return { address, error ? unusedPort : port };
+    }
 
     template <int level, int name> using IntegerOption = asio::detail::socket_option::integer<level, name>;
     using UserTimeout = IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -317,7 +326,7 @@
 ConnectionPool::ConnectionPool(asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock,
     const ConnectionPoolOptions& options)
     : m_context(context)
-    , m_endpoint(asio::ip::make_address(ip), port)
+    , m_endpoint(endpointOf(ip, port))
     , m_clock(std::move(clock))
     , m_options(options)
     , m_self(std::make_shared<ConnectionPool*>(this))
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -85,6 +85,7 @@
         std::uint64_t exchange = 0;
     };
 
+    /// @param ip if it is no IP address, each exchange ends as NotSent
     ConnectionPool(asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock,
         const ConnectionPoolOptions& options);
     ~ConnectionPool();
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -89,6 +89,21 @@
         CHECK_FALSE(documents.decodeRunner("servers/i-1", text));
 }
 
+// Guards against daemons that end when they connect to the address of an entry.
+TEST_CASE("a runner entry whose address is not the IPv4 address of a host is refused")
+{
+    const platform::StoreDocumentCodec documents;
+    for (const char* address : { "works-9.tas-south-a:8708", "localhost:80", ":80", "10.0.0.9:", "10.0.0:80",
+             "10.0.0.256:80", "10.0.0.9.1:80", " 10.0.0.9:80", "10.0.0.9 :80", "0.0.0.0:80", "255.255.255.255:80",
+             "224.0.0.1:80", "::1:80", "[::1]:80", "10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9:8o",
+             "10.0.0.9:99999999999999999999", "10.0.0.9\\u0000:80" }) {
+        CAPTURE(address);
+        const auto text
+            = std::string(R"({"service":"s","zone":"a","slots":64,"state":"ready","address":")") + address + "\"}";
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", text));
+    }
+}
+
 TEST_CASE("pages and changes of the store are decoded and malformed ones are an error")
 {
     const platform::StoreProtocol protocol;
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -352,3 +352,20 @@
     fixture.awaitAnswer("\r\n0\r\n\r\n");
     CHECK(fixture.caller->has("data: e1"));
 }
+
+// Guards against daemons that end when they connect to the address of a listed runner.
+TEST_CASE("a listed runner whose address is no IP address costs its requests an attempt, and nothing else")
+{
+    Fixture fixture;
+    auto named = Fixture::runnerEntry("r-3", 8708);
+    named.ip = "works-9.tas-south-a";
+    fixture.router.setRunners(std::vector<runners::RunnerEntry> { named });
+    fixture.call("GET", "/look/1");
+    fixture.awaitAnswer("\r\n\r\n");
+    CHECK(fixture.caller->received.starts_with("HTTP/1.1 503"));
+    fixture.router.setRunners(
+        std::vector<runners::RunnerEntry> { named, Fixture::runnerEntry("r-1", fixture.firstRunner.port()) });
+    fixture.call("GET", "/look/2");
+    fixture.awaitRequest(1).send(successResponse("id", "found"));
+    fixture.awaitAnswer("found");
+}
