Keep the event loops running after an exception of a handler

runEventLoop() logs the exception as handler-failed and goes on. Periodic timers, the listener, the fleet's socket and the signal handler re-arm themselves also when their work throws; otherwise a daemon would go on without its control loop.

--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ControlThread.h"
 
 #include "common/Hash.h"
+#include "daemon/EventLoop.h"
 #include "daemon/SystemClock.h"
 #include "membership/Neighbours.h"
 #include "peer/WebSocketTransport.h"
@@ -114,7 +115,7 @@
 void ControlThread::run()
 {
     m_tickTimer.start();
-    m_context.run();
+    runEventLoop(m_context, "control");
 }
 
 void ControlThread::stop()
--- a/src/daemon/PeriodicTimer.h
+++ b/src/daemon/PeriodicTimer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/ScopeExit.h"
 #include "daemon/SystemClock.h"
 #include <asio.hpp>
 #include <functional>
@@ -27,8 +28,8 @@
         m_timer.async_wait([this](const asio::error_code& error) {
             if (error)
                 return;
+            const ScopeExit restart([this] { start(); });
             m_action(currentTime());
-            start();
         });
     }
 
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/TrafficThread.h"
 
 #include "common/Hash.h"
+#include "daemon/EventLoop.h"
 #include "daemon/SystemClock.h"
 #include "gateway/CallerRequest.h"
 
@@ -70,7 +71,7 @@
 {
 }
 
-void TrafficThread::run() { m_context.run(); }
+void TrafficThread::run() { runEventLoop(m_context, "traffic"); }
 
 void TrafficThread::stopAccepting()
 {
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -1,5 +1,7 @@
 #include "edge/ControlLoop.h"
 
+#include "common/ScopeExit.h"
+#include "daemon/EventLoop.h"
 #include "daemon/SystemClock.h"
 #include "telemetry/DecisionLog.h"
 #include <fstream>
@@ -87,7 +89,7 @@
     waitForSignal();
     tick(currentTime());
     m_tickTimer.start();
-    m_context.run();
+    daemon::runEventLoop(m_context, "control");
 }
 
 void ControlLoop::tick(TimePoint now)
@@ -273,11 +275,11 @@
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
+        const ScopeExit waitForNext([this] { waitForSignal(); });
         if (signal == SIGHUP)
             reloadSettings("signal");
         else
             beginStop();
-        waitForSignal();
     });
 }
 
--- a/src/edge/FleetSocket.cpp
+++ b/src/edge/FleetSocket.cpp
@@ -1,5 +1,6 @@
 #include "edge/FleetSocket.h"
 
+#include "common/ScopeExit.h"
 #include "telemetry/DecisionLog.h"
 
 namespace eelgrassford::edge {
@@ -34,8 +35,8 @@
     m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code& error) {
         if (error)
             return;
+        const ScopeExit receiveNext([this] { receive(); });
         readAll(true);
-        receive();
     });
 }
 
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -1,5 +1,6 @@
 #include "edge/TrafficLoop.h"
 
+#include "daemon/EventLoop.h"
 #include "daemon/SystemClock.h"
 #include "telemetry/DecisionLog.h"
 
@@ -62,7 +63,7 @@
 {
     m_startedAt = currentTime();
     m_tickTimer.start();
-    m_context.run();
+    daemon::runEventLoop(m_context, "traffic");
 }
 
 void TrafficLoop::setRoutes(std::shared_ptr<const routing::RouteTable> routes)
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StreamServer.h"
 
+#include "common/ScopeExit.h"
 #include "gateway/Problem.h"
 #include "http/MessageParser.h"
 #include "telemetry/DecisionLog.h"
@@ -429,11 +430,11 @@
             });
             return;
         }
+        const ScopeExit acceptNext([this] { accept(); });
         m_shared->lastAcceptedAt = m_shared->clock();
         auto connection = std::make_shared<Connection>(std::move(socket), m_shared);
         m_shared->connections.push_back(connection);
         connection->start();
-        accept();
     });
 }
 
