--- a/src/gateway/Http.h
+++ b/src/gateway/Http.h
@@ -51,7 +51,8 @@
     virtual void end() = 0;
     /// @brief Closes the connection at once, so that the caller sees that the response is incomplete.
     virtual void abort() = 0;
-    /// @brief Sets a handler that is called at most once, when the caller is found to have disconnected.
+    /// @brief Sets a handler that is called at most once, when the caller is found to have disconnected. It is not
+    /// called from within a function of the responder.
     virtual void onCallerDisconnected(std::function<void()> handler) = 0;
 };
 
--- a/src/gateway/HttpServer.cpp
+++ b/src/gateway/HttpServer.cpp
@@ -50,8 +50,9 @@
     /// Answers one request through RESTinio.
     class RestinioResponder : public Responder, public std::enable_shared_from_this<RestinioResponder> {
     public:
-        RestinioResponder(restinio::request_handle_t request, const bool& isClosing)
-            : m_request(std::move(request))
+        RestinioResponder(asio::io_context& context, restinio::request_handle_t request, const bool& isClosing)
+            : m_context(context)
+            , m_request(std::move(request))
             , m_connection(restinio::impl::access_req_connection(*m_request))
             , m_isClosing(isClosing)
         {
@@ -91,6 +92,7 @@
         void abort() override
         {
             m_isDisconnected = true;
+            m_disconnectHandler = nullptr;
             m_chunked.reset();
             const auto connection = std::exchange(m_connection, nullptr);
             if (!connection)
@@ -120,11 +122,15 @@
                 if (!error || !self)
                     return;
                 self->m_isDisconnected = true;
-                if (auto handler = std::exchange(self->m_disconnectHandler, nullptr))
-                    handler();
+                // Deferred: RESTinio may report the error from within a function of the responder.
+                asio::post(self->m_context, [self] {
+                    if (const auto handler = std::exchange(self->m_disconnectHandler, nullptr))
+                        handler();
+                });
             };
         }
 
+        asio::io_context& m_context;
         restinio::request_handle_t m_request;
         /// Kept for abort(), since creating a response takes the connection out of the request.
         restinio::impl::connection_handle_t m_connection;
@@ -150,7 +156,8 @@
 class HttpServer::Implementation {
 public:
     Implementation(asio::io_context& context, const Options& options, Handler handler)
-        : m_options(options)
+        : m_context(context)
+        , m_options(options)
         , m_handler(std::move(handler))
         , m_server(restinio::external_io_context(context), settings())
     {
@@ -192,7 +199,7 @@
     restinio::request_handling_status_t handle(restinio::request_handle_t request)
     {
         auto parsed = readRequest(*request);
-        auto responder = std::make_shared<RestinioResponder>(std::move(request), m_isClosing);
+        auto responder = std::make_shared<RestinioResponder>(m_context, std::move(request), m_isClosing);
         if (const auto problem = findLimitViolation(parsed))
             responder->respond(toResponse(*problem));
         else
@@ -215,6 +222,7 @@
         return std::nullopt;
     }
 
+    asio::io_context& m_context;
     Options m_options;
     Handler m_handler;
     bool m_isClosing = false;
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -146,8 +146,10 @@
 
         void abort() override
         {
-            if (const auto connection = std::exchange(m_connection, nullptr))
+            if (const auto connection = std::exchange(m_connection, nullptr)) {
+                connection->m_disconnectHandler = nullptr;
                 connection->close();
+            }
         }
 
         void onCallerDisconnected(std::function<void()> handler) override
@@ -367,8 +369,13 @@
             return;
         asio::error_code ignored;
         m_socket.close(ignored);
-        if (auto handler = std::exchange(m_disconnectHandler, nullptr))
-            handler();
+        if (!m_disconnectHandler)
+            return;
+        // Deferred: a function of the responder may be running, and the handler may destroy the responder.
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            if (const auto handler = std::exchange(self->m_disconnectHandler, nullptr))
+                handler();
+        });
     }
 
     asio::ip::tcp::socket m_socket;
--- a/tests/gateway/StreamServerTest.cpp
+++ b/tests/gateway/StreamServerTest.cpp
@@ -178,3 +178,29 @@
     server.startAccepting();
     runUntil(context, [&] { return caller->has("served"); });
 }
+
+// Guards against a responder that is destroyed by the disconnect handler while one of its functions runs.
+TEST_CASE("the disconnect handler is not called from within a function of the responder")
+{
+    for (const char* action : { "begin", "write", "respond", "abort" }) {
+        CAPTURE(action);
+        Fixture fixture;
+        const auto caller = Peer::connect(fixture.context, fixture.port);
+        caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        fixture.awaitRequests(1);
+        auto& responder = *fixture.responders[0];
+        bool isCalled = false;
+        responder.onCallerDisconnected([&] { isCalled = true; });
+        caller->reset();
+        const std::string name = action;
+        if (name == "begin")
+            responder.begin(200, {});
+        else if (name == "write")
+            responder.write("part");
+        else if (name == "respond")
+            responder.respond({ 200, {}, "whole" });
+        else
+            responder.abort();
+        CHECK_FALSE(isCalled);
+    }
+}
