Let sessions outlive their router

A daemon that cuts requests off at the end of its grace period often ended with signal 6: handlers that the event loop destroys after the router hold sessions, and ~Session() removed itself from a set of the router and counted bytes back there. The tests of the reset callers ended in the same way ("corrupted size vs. prev_size").

The set and the count now belong to an object that router and sessions share, so that their order of destruction does not matter.

--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -398,7 +398,7 @@
 void Router::failAttemptsAt(const std::string& runner)
 {
     std::vector<std::shared_ptr<Session>> waiting;
-    for (auto* session : m_sessions) {
+    for (auto* session : m_inFlight->sessions) {
         if (session->isWaitingFor(runner))
             waiting.push_back(session->shared_from_this());
     }
@@ -408,7 +408,7 @@
 
 void Router::updateMetrics(TimePoint now)
 {
-    m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(m_sessions.size()));
+    m_metrics.setGauge("eelgrassford_relayed_requests", static_cast<double>(requestsInFlight()));
     std::map<std::string, std::map<std::string, double>> states;
     std::map<std::string, double> limited;
     auto connections = m_removedRunnerConnections;
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -111,9 +111,9 @@
     /// @brief Whether the configuration was confirmed recently enough for credentials to be accepted.
     bool isCredentialLeaseValid(TimePoint now) const;
     /// @brief Bytes of incomplete response bodies that are held back now.
-    std::size_t bufferedResponseBytes() const { return m_bufferedResponseBytes; }
+    std::size_t bufferedResponseBytes() const { return m_inFlight->bufferedResponseBytes; }
     /// @brief Relayed requests in flight.
-    std::size_t requestsInFlight() const { return m_sessions.size(); }
+    std::size_t requestsInFlight() const { return m_inFlight->sessions.size(); }
 
 private:
     friend class Session;
@@ -131,6 +131,14 @@
     /// Fails the attempts that wait for an unreachable runner.
     void failAttemptsAt(const std::string& runner);
 
+    /// What the sessions leave behind when they end. They share it, since handlers that the event loop has not called
+    /// yet keep sessions beyond the life of their router.
+    struct RequestsInFlight {
+        std::set<Session*> sessions;
+        /// Bytes of incomplete response bodies that the sessions hold back.
+        std::size_t bufferedResponseBytes = 0;
+    };
+
     /// A response that the daemon sends instead of relaying the request.
     struct Refusal {
         std::uint16_t status = 503;
@@ -189,8 +197,7 @@
     /// Newest time at which the configuration in force was proven to be current.
     std::optional<TimePoint> m_confirmedAt;
     TimePoint m_startedAt;
-    std::size_t m_bufferedResponseBytes = 0;
-    std::set<Session*> m_sessions;
+    std::shared_ptr<RequestsInFlight> m_inFlight = std::make_shared<RequestsInFlight>();
 };
 
 }
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -46,6 +46,7 @@
 
 Session::Session(Router& router, AdmittedRequest admitted, std::shared_ptr<gateway::Responder> responder)
     : m_router(router)
+    , m_inFlight(router.m_inFlight)
     , m_admitted(std::move(admitted))
     , m_responder(std::move(responder))
     , m_plan(planOptions(m_admitted))
@@ -53,10 +54,10 @@
     , m_timer(router.m_context)
     , m_lastEvent(m_admitted.metadata.lastEvent.value_or(0))
 {
-    m_router.m_sessions.insert(this);
+    m_inFlight->sessions.insert(this);
 }
 
-Session::~Session() { m_router.m_sessions.erase(this); }
+Session::~Session() { m_inFlight->sessions.erase(this); }
 
 void Session::start()
 {
@@ -96,7 +97,7 @@
     m_plan.beginAttempt();
     m_router.m_registry.recordDispatch(*runner, now);
     m_lastRunner = runner->entry.id;
-    m_attempt = std::make_unique<Attempt>(m_router.m_bufferedResponseBytes);
+    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
     m_attempt->runner = runner->entry.id;
     m_attempt->sentAt = now;
     m_attempt->lastProgressAt = now;
@@ -216,7 +217,7 @@
 bool Session::hasRoomFor(std::size_t bytes) const
 {
     return m_attempt->body.size() + bytes <= responseBodyLimit
-        && m_router.m_bufferedResponseBytes + bytes <= m_router.m_options.responseBufferLimit;
+        && m_inFlight->bufferedResponseBytes + bytes <= m_router.m_options.responseBufferLimit;
 }
 
 void Session::relayEvents()
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -121,6 +121,8 @@
     dispatch::RelayPlan::Budget retryBudget(TimePoint now);
 
     Router& m_router;
+    /// Outlives the attempt, which is counted in it.
+    std::shared_ptr<Router::RequestsInFlight> m_inFlight;
     AdmittedRequest m_admitted;
     std::shared_ptr<gateway::Responder> m_responder;
     dispatch::RelayPlan m_plan;
