--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -16,11 +16,6 @@
     constexpr Duration retryAfterStopping = std::chrono::milliseconds(50);
     /// Retry-After of a request that crashes runners, after which it may be tried again.
     constexpr Duration retryAfterQuarantine = std::chrono::minutes(10);
-    /// Expected time of the longest stream: processing of the prompt, then the 223 events, about 20 ms each, of the
-    /// users' longest stream.
-    constexpr Duration expectedStreamTime = std::chrono::milliseconds(4700);
-    /// Expected time of a request that is not a stream, unless the timeout of its route is shorter.
-    constexpr Duration expectedRequestTime = std::chrono::milliseconds(1500);
     constexpr double tenthsPerRequest = 10.0;
     /// Time for which other daemons are told of a limit of a runner, or of its end.
     constexpr Duration limitReportTime = std::chrono::seconds(10);
@@ -140,7 +135,8 @@
         return result;
     }
     result.priority = result.route->priority;
-    result.refusal = refuseIfStopping(*result.route, now);
+    if (m_stop && !m_stop->mayAccept(*result.route, effectiveTimeout(*result.route, metadata), now))
+        result.refusal = Refusal { status::unavailable, "stopping", retryAfterStopping };
     if (result.refusal || result.route->isPublic || !m_routes->hasOrganisations())
         return result;
     // Credentials may have been revoked since the configuration was last confirmed to be current.
@@ -158,17 +154,6 @@
     return result;
 }
 
-std::optional<Router::Refusal> Router::refuseIfStopping(const routing::Route& route, TimePoint now) const
-{
-    if (!m_stopDeadline)
-        return std::nullopt;
-    const auto expected = route.kind == routing::RequestKind::Stream ? expectedStreamTime
-                                                                     : std::min(route.timeout, expectedRequestTime);
-    if (now + expected < *m_stopDeadline)
-        return std::nullopt;
-    return Refusal { status::unavailable, "stopping", retryAfterStopping };
-}
-
 std::optional<Router::Refusal> Router::refuseIfOverloaded(
     const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now)
 {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -8,6 +8,7 @@
 #include "proxy/OverloadControl.h"
 #include "proxy/PromptIndex.h"
 #include "proxy/RunnerReport.h"
+#include "proxy/StopAdmission.h"
 #include "routing/RouteTable.h"
 #include "runners/Placement.h"
 #include "runners/Registry.h"
@@ -90,8 +91,9 @@
     void mergeLimits(std::span<const fleet::RunnerLimit> limits);
     /// @brief Sets the daemons among which the limits of runners are shared, by their addresses.
     void setFleet(std::string_view ownIp, std::span<const std::string> otherIps);
-    /// @brief Begins a graceful stop: refuses new requests that are not expected to end before @a deadline.
-    void beginStop(TimePoint deadline) { m_stopDeadline = deadline; }
+    /// @brief Begins a graceful stop: refuses new requests that may not end in time.
+    /// @param cutAt time at which the requests in flight are cut off
+    void beginStop(TimePoint cutAt) { m_stop.emplace(now(), cutAt); }
     /// @brief Closes connections that were idle for too long, expires crash records, and detects services that are no
     /// longer overloaded; call a few times a second.
     void sweep(TimePoint now);
@@ -157,8 +159,6 @@
     };
 
     Admission admit(const gateway::HttpRequest& request, const RequestMetadata& metadata, TimePoint now) const;
-    /// Refuses a request that may not end before the daemon stops.
-    std::optional<Refusal> refuseIfStopping(const routing::Route& route, TimePoint now) const;
     /// Refuses a request that its service cannot serve in time.
     std::optional<Refusal> refuseIfOverloaded(
         const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now);
@@ -192,7 +192,7 @@
     PromptIndex m_promptIndex;
     dispatch::CrashRegistry m_crashes;
     /// Set once a graceful stop has begun.
-    std::optional<TimePoint> m_stopDeadline;
+    std::optional<StopAdmission> m_stop;
     telemetry::LineBudget m_routineLines;
     /// Newest time at which the configuration in force was proven to be current.
     std::optional<TimePoint> m_confirmedAt;
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -307,6 +307,21 @@
     fixture.awaitAnswer("booked");
 }
 
+// Guards against bookings that are accepted late in the grace period and cut off at its end.
+TEST_CASE("a stopping router refuses a request whose time limit is after the end of the stop")
+{
+    Fixture fixture;
+    fixture.router.beginStop(daemon::currentTime() + std::chrono::milliseconds(7600));
+    fixture.clockOffset = std::chrono::milliseconds(5500);
+    fixture.call("POST", "/book/1", "X-Deadline-Ms: 2500\r\n");
+    fixture.awaitAnswer("\r\n\r\n");
+    CHECK(fixture.caller->received.starts_with("HTTP/1.1 503"));
+    CHECK(fixture.requestCount() == 0);
+    fixture.call("POST", "/book/2", "X-Deadline-Ms: 1000\r\n");
+    fixture.awaitRequest(1).send(successResponse("id", "booked"));
+    fixture.awaitAnswer("booked");
+}
+
 TEST_CASE("a request that crashed three runners is refused")
 {
     Fixture fixture;
