--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -137,7 +137,7 @@
     result.priority = result.route->priority;
     if (m_stop && !m_stop->mayAccept(*result.route, effectiveTimeout(*result.route, metadata), now))
         result.refusal = Refusal { status::unavailable, "stopping", retryAfterStopping };
-    if (result.refusal || result.route->isPublic || !m_routes->hasOrganisations())
+    if (result.refusal || result.route->isPublic || !m_routes->requiresCredentials())
         return result;
     // Credentials may have been revoked since the configuration was last confirmed to be current.
     if (!isCredentialLeaseValid(now)) {
--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -78,6 +78,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Organisation> organisations;
+    /// Whether routes that are not public accept only the credentials of organisations, of which there may be none.
+    bool requiresCredentials = true;
     /// Limits of requests and connections of callers.
     gateway::CallerLimits limits;
 };
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -50,6 +50,8 @@
 
 const Organisation* RouteTable::findOrganisation(std::string_view credential) const
 {
+    if (credential.empty())
+        return nullptr;
     const auto found = m_organisationsByCredential.find(std::string(credential));
     return found == m_organisationsByCredential.end() ? nullptr : found->second;
 }
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -23,7 +23,7 @@
     /// @brief The organisation that holds a credential, or null.
     const Organisation* findOrganisation(std::string_view credential) const;
     /// @brief Whether routes that are not public require a credential.
-    bool hasOrganisations() const { return !m_configuration.organisations.empty(); }
+    bool requiresCredentials() const { return m_configuration.requiresCredentials; }
 
 private:
     Configuration m_configuration;
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -63,6 +63,29 @@
     CHECK_FALSE(platform::StoreDocumentCodec().decodeConfiguration(R"({"version":"7"})"));
 }
 
+// Guards against a configuration that takes the last organisation away and so admits every credential.
+TEST_CASE("a configuration with a list of organisations requires credentials, also if the list is empty")
+{
+    const auto withOrganisations = [](const std::string& list) {
+        std::string text = configuration;
+        const auto begin = text.find(",\n  \"tenants\"");
+        text.replace(begin, text.rfind('}') - begin, list);
+        return platform::StoreDocumentCodec().decodeConfiguration(text);
+    };
+    CHECK_FALSE(withOrganisations("")->requiresCredentials);
+    for (const char* list : { R"(,"tenants":[])", R"(,"tenants":[{"name":"works","apiKeys":[]}])",
+             R"(,"tenants":[{"name":"works","apiKeys":["k"]}])" }) {
+        CAPTURE(list);
+        const auto result = withOrganisations(list);
+        REQUIRE(result);
+        CHECK(result->requiresCredentials);
+    }
+    for (const char* list : { R"(,"tenants":null)", R"(,"tenants":"works")", R"(,"tenants":{})" }) {
+        CAPTURE(list);
+        CHECK_FALSE(withOrganisations(list));
+    }
+}
+
 TEST_CASE("a runner's entry is decoded with its start time")
 {
     const platform::StoreDocumentCodec documents;
--- a/tests/routing/RouteTableTest.cpp
+++ b/tests/routing/RouteTableTest.cpp
@@ -72,3 +72,12 @@
     split.destinations = { { "only", 0.0 } };
     CHECK(routing::chooseDestination(split, 5) == "only");
 }
+
+TEST_CASE("no organisation holds the empty credential of a request without one")
+{
+    routing::Configuration configuration;
+    configuration.organisations = { { "works", { "", "key" }, {} } };
+    const RouteTable routes(std::move(configuration));
+    CHECK(routes.findOrganisation("") == nullptr);
+    CHECK(routes.findOrganisation("key") != nullptr);
+}
