Check the numbers, the id and the size of foreign entries

Tried here: nesting of 300,000 levels and ports out of range did no harm before. The tests failed for three others on the code before: numbers were converted without a check, so that "slots" of -1 was 4,294,967,295 slots, never full and never overloaded; an id with a line break would have added headers to the requests of its runner; and an entry that cannot be read was logged at each change of the list, with as many of its bytes as the JSON library quotes.

Whole numbers are decoded with their range, ids are visible ASCII text, durations are bounded, any error of a decoder makes a document unreadable; unreadable entries are logged once for each revision, and values of log lines are cut.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -218,15 +218,21 @@
 void ControlLoop::publishRunners()
 {
     std::vector<runners::RunnerEntry> entries;
+    std::map<std::string, store::Revision> unreadable;
     for (const auto& [key, item] : m_mirror.items()) {
         if (!m_documents.isRunnerKey(key))
             continue;
         auto entry = m_documents.decodeRunner(key, item.value);
-        if (entry)
+        if (entry) {
             entries.push_back(std::move(*entry));
-        else
+            continue;
+        }
+        unreadable[key] = item.revision;
+        const auto logged = m_unreadableRunners.find(key);
+        if (logged == m_unreadableRunners.end() || logged->second != item.revision)
             telemetry::logWarning("runner-unreadable", { { "key", key }, { "detail", entry.error().what } });
     }
+    m_unreadableRunners = std::move(unreadable);
     if (entries == m_runners)
         return;
     const auto leaving
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -60,6 +60,8 @@
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
     std::vector<runners::RunnerEntry> m_runners;
+    /// Revisions of the entries that cannot be read, by key. Each is logged once.
+    std::map<std::string, store::Revision> m_unreadableRunners;
     /// Addresses of the other daemons that the traffic loop was told of.
     std::vector<std::string> m_otherIps;
     /// Time of the newest freshness proof of the configuration, from the store or from another daemon.
--- a/src/telemetry/DecisionLog.cpp
+++ b/src/telemetry/DecisionLog.cpp
@@ -13,6 +13,7 @@
     constexpr const char* linePattern = "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v";
     /// Bytes buffered for standard output; enough for some seconds at the highest load.
     constexpr std::size_t pendingLimit = 512u << 10;
+    constexpr std::size_t maxValueBytes = 1000;
 
     std::shared_ptr<BoundedSink>& boundedSink()
     {
@@ -26,9 +27,10 @@
     }
 
     /// Quotes a value that contains separators, escapes quotes and backslashes, and replaces control characters by
-    /// spaces.
+    /// spaces. Cuts long values, which may quote bytes of unknown origin.
     std::string quote(std::string_view value)
     {
+        value = value.substr(0, maxValueBytes);
         if (needsNoQuotes(value))
             return std::string(value);
         std::string text = "\"";
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -73,14 +73,14 @@
         return platform::StoreDocumentCodec().decodeConfiguration(text);
     };
     CHECK_FALSE(withOrganisations("")->requiresCredentials);
-    for (const char* list : { R"(,"tenants":[])", R"(,"tenants":[{"name":"works","apiKeys":[]}])",
+    for (const std::string list : { R"(,"tenants":[])", R"(,"tenants":[{"name":"works","apiKeys":[]}])",
              R"(,"tenants":[{"name":"works","apiKeys":["k"]}])" }) {
         CAPTURE(list);
         const auto result = withOrganisations(list);
         REQUIRE(result);
         CHECK(result->requiresCredentials);
     }
-    for (const char* list : { R"(,"tenants":null)", R"(,"tenants":"works")", R"(,"tenants":{})" }) {
+    for (const std::string list : { R"(,"tenants":null)", R"(,"tenants":"works")", R"(,"tenants":{})" }) {
         CAPTURE(list);
         CHECK_FALSE(withOrganisations(list));
     }
@@ -116,7 +116,7 @@
 TEST_CASE("a runner entry whose address is not the IPv4 address of a host is refused")
 {
     const platform::StoreDocumentCodec documents;
-    for (const char* address : { "works-9.tas-south-a:8708", "localhost:80", ":80", "10.0.0.9:", "10.0.0:80",
+    for (const std::string address : { "works-9.tas-south-a:8708", "localhost:80", ":80", "10.0.0.9:", "10.0.0:80",
              "10.0.0.256:80", "10.0.0.9.1:80", " 10.0.0.9:80", "10.0.0.9 :80", "0.0.0.0:80", "255.255.255.255:80",
              "224.0.0.1:80", "::1:80", "[::1]:80", "10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9:8o",
              "10.0.0.9:99999999999999999999", "10.0.0.9\\u0000:80" }) {
@@ -127,6 +127,66 @@
     }
 }
 
+namespace {
+
+/// An entry that is sound except for the given value of a field.
+std::string runnerWith(const std::string& field, const std::string& value)
+{
+    std::string text = runner;
+    const auto name = "\"" + field + "\":";
+    const auto begin = text.find(name) + name.size();
+    return text.replace(begin, text.find_first_of(",}", begin) - begin, value);
+}
+
+std::string nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
+
+}
+
+// Guards against entries of another writer that end daemons, or that give a runner a capacity without bound.
+TEST_CASE("an entry with a number that is negative, too large or no whole number is refused")
+{
+    const platform::StoreDocumentCodec documents;
+    REQUIRE(documents.decodeRunner("servers/i-1", runnerWith("slots", "64")));
+    for (const std::string value : { "-1", "0", "64.5", "1e300", "-1e300", "1e999", "4294967360",
+             "18446744073709551616", "1000000", "true", "null", "\"64\"" }) {
+        CAPTURE(value);
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", runnerWith("slots", value)));
+    }
+    for (const std::string value : { "-1", "1.5", "1e300", "1e999", "36893488147419103232", "null", "\"1\"" }) {
+        CAPTURE(value);
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", runnerWith("born", value)));
+        const auto entry = runnerWith("born", value);
+        CHECK(documents.compareStates("servers/i-1", entry, runner) == std::partial_ordering::unordered);
+        const auto count = runnerWith("sequence", value);
+        CHECK(documents.compareStates("servers/i-1", runner, count) == std::partial_ordering::unordered);
+    }
+}
+
+TEST_CASE("an entry that is nested very deeply is read without a crash, and refused where a field should be text")
+{
+    const platform::StoreDocumentCodec documents;
+    for (const std::size_t depth : { 1000, 300000 }) {
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", nested(depth)));
+        CHECK_FALSE(documents.decodeRunner("servers/i-1", std::string(depth, '[')));
+        for (const char* field : { "service", "address", "zone", "slots", "state", "born" })
+            CHECK_FALSE(documents.decodeRunner("servers/i-1", runnerWith(field, nested(depth))));
+        CHECK_FALSE(documents.decodeConfiguration(nested(depth)));
+        CHECK(documents.compareStates("servers/i-1", nested(depth), runner) == std::partial_ordering::unordered);
+        CHECK_FALSE(platform::StoreProtocol().decodePage(nested(depth)));
+        CHECK_FALSE(platform::StoreProtocol().decodeChanges(R"({"events":)" + nested(depth) + "}"));
+    }
+}
+
+// Guards against an id that ends the header in which it is sent to the runner, and adds others.
+TEST_CASE("an entry is refused whose id cannot stand in a header")
+{
+    const platform::StoreDocumentCodec documents;
+    for (const std::string id : { "", "i 1", "i-1\r\nX-Tenant: other", "i-1\n", "i\t1", "i-\xc3\xa9", "i\x7f" }) {
+        CAPTURE(id);
+        CHECK_FALSE(documents.decodeRunner("servers/" + id, runner));
+    }
+}
+
 TEST_CASE("pages and changes of the store are decoded and malformed ones are an error")
 {
     const platform::StoreProtocol protocol;
--- a/tests/telemetry/LoggingTest.cpp
+++ b/tests/telemetry/LoggingTest.cpp
@@ -1,4 +1,5 @@
 #include "telemetry/BoundedSink.h"
+#include "telemetry/DecisionLog.h"
 #include "telemetry/LineBudget.h"
 
 #include <doctest/doctest.h>
@@ -66,3 +67,9 @@
     CHECK(budget.takeSkipped() == 0);
     CHECK(budget.tryTake(start + std::chrono::milliseconds(1000)));
 }
+
+TEST_CASE("a long value in a log line is cut, so that foreign bytes do not fill the log")
+{
+    CHECK(telemetry::formatEvent("test", { { "detail", std::string(1u << 20, 'x') } }).size() < 1100);
+    CHECK(telemetry::formatEvent("test", { { "detail", "a \"b\"\n" } }) == "event=test detail=\"a \\\"b\\\" \"");
+}
