Take only a response that names its request for its answer

A report of other operators: a runner wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or the request ran at a second runner.

A copy that names the earlier request was skipped before; the new test of it passes on the code before. A response without the id, or with two, was taken for the answer: the two other tests fail there (503 in place of 502, a second runner gets the request, and a success of another request).

Such a response now ends the attempt as broken, with its connection, before anything of it is used.

--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -171,6 +171,11 @@
     attempt.head = head;
     attempt.hasHead = true;
     attempt.lastProgressAt = m_router.now();
+    // Runners repeat the id of a request. A response without it may be a late copy of one to an earlier request.
+    if (!attempt.metadata.attemptId) {
+        failMalformed("the response does not name its request");
+        return;
+    }
     auto* runner = m_router.m_registry.find(attempt.runner);
     if (runner)
         m_router.m_registry.recordReceived(*runner, attempt.lastProgressAt);
