Continue a stream only with events of the same response

A report of other operators: a stream broke off, the next runner answered with an error, and callers found its text or head within their stream, or the stream ended as complete.

Errors by status held before. The tests failed on the code before for a success of another content type, for events without id and text that is no event, for an error's head in a stream that is delimited by its connection, and for such a stream that ends before any event.

--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -23,6 +23,8 @@
     /// does so as it begins to answer.
     constexpr std::uint64_t minEventsOfAnswer = 2;
 
+    std::string_view contentTypeOf(const http::MessageHead& head) { return head.header("Content-Type").value_or(""); }
+
     bool isSuccess(std::uint16_t status) { return status / 100 == 2; }
 
     /// Whether callers take a status to mean that the request was not run.
@@ -183,8 +185,24 @@
         m_router.m_registry.recordReportedLoad(*runner, *attempt.metadata.load, attempt.lastProgressAt);
     if (runner && !attempt.metadata.isMisdirected)
         recordLimit(*runner);
-    attempt.isStreaming = m_admitted.route->kind == routing::RequestKind::Stream && isSuccess(head.status)
-        && attempt.metadata.hasDigest && !attempt.metadata.isEncoded && !attempt.metadata.hasNotRun;
+    attempt.isStreaming = isStream(head, attempt.metadata);
+}
+
+bool Session::isStream(const http::MessageHead& head, const ResponseMetadata& metadata) const
+{
+    if (m_admitted.route->kind != routing::RequestKind::Stream || !isSuccess(head.status) || !metadata.hasDigest
+        || metadata.isEncoded || metadata.hasNotRun)
+        return false;
+    return !m_hasResponseStarted || (head.status == m_responseStatus && contentTypeOf(head) == m_responseType);
+}
+
+void Session::startResponse()
+{
+    const auto& head = m_attempt->head;
+    m_hasResponseStarted = true;
+    m_responseStatus = head.status;
+    m_responseType = contentTypeOf(head);
+    m_responder->begin(head.status, m_router.m_codec.encodeResponse(head.headers));
 }
 
 void Session::recordLimit(runners::Runner& runner) const
@@ -202,8 +220,9 @@
         m_router.m_registry.recordReceived(*runner, m_router.now());
     if (attempt.isStreaming) {
         attempt.events.feed(bytes);
-        relayEvents();
-        if (m_attempt && m_attempt->events.isTooLarge())
+        if (!relayEvents())
+            failMalformed("the stream holds something other than events");
+        else if (attempt.events.isTooLarge())
             failMalformed("an event of the stream is too large");
     } else if (hasRoomFor(bytes.size())) {
         attempt.body += bytes;
@@ -225,11 +244,18 @@
         && m_inFlight->bufferedResponseBytes + bytes <= m_router.m_options.responseBufferLimit;
 }
 
-void Session::relayEvents()
+bool Session::relayEvents()
 {
     auto& attempt = *m_attempt;
     std::string text;
+    bool isSound = true;
     while (const auto event = attempt.events.next()) {
+        // In a stream whose events have ids, one without is no part of it.
+        const bool lacksId = m_lastEvent > 0 && !event->offset && !event->isComment && !event->isEnd;
+        if (event->isMalformed || lacksId) {
+            isSound = false;
+            break;
+        }
         attempt.lastProgressAt = m_router.now();
         if (++attempt.eventCount == minEventsOfAnswer)
             m_router.m_crashes.recordServed(std::span(m_admitted.suspects).subspan(1), attempt.lastProgressAt);
@@ -241,13 +267,13 @@
         text += event->text;
     }
     if (text.empty())
-        return;
+        return isSound;
     if (!m_hasResponseStarted) {
-        m_hasResponseStarted = true;
         recordFirstByte(attempt.lastProgressAt);
-        m_responder->begin(attempt.head.status, m_router.m_codec.encodeResponse(attempt.head.headers));
+        startResponse();
     }
     m_responder->write(std::move(text));
+    return isSound;
 }
 
 std::vector<dispatch::CrashSuspect> Session::crashSuspects() const
@@ -327,12 +353,12 @@
         return;
     }
     // Only the end of the connection says that such a stream is complete, and a runner that crashes closes it too.
-    if (m_attempt->head.isEndedByClose && m_lastEvent == 0 && m_attempt->eventCount == 0) {
+    if (m_attempt->head.isEndedByClose && m_attempt->eventCount == 0) {
         fail(AttemptFailure::Broken, Observation::ConnectionLost, "the stream ended without an event");
         return;
     }
     if (!m_hasResponseStarted)
-        m_responder->begin(m_attempt->head.status, m_router.m_codec.encodeResponse(m_attempt->head.headers));
+        startResponse();
     if (m_affinity.promptHash != 0)
         m_router.m_promptIndex.recordServed(m_affinity.promptHash, m_attempt->runner);
     endAttempt(Observation::Served, now);
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -80,6 +80,9 @@
     /// The request as HTTP/1.1 bytes for a runner.
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
+    /// Whether the body of a response is relayed event by event.
+    bool isStream(const http::MessageHead& head, const ResponseMetadata& metadata) const;
+    void startResponse();
     /// Records whether the response of the current attempt limits the rate of requests to its runner.
     void recordLimit(runners::Runner& runner) const;
     void onBytes(std::string_view bytes);
@@ -87,7 +90,8 @@
     void failMalformed(std::string_view detail);
     bool hasRoomFor(std::size_t bytes) const;
     void onEnded(const upstream::ExchangeResult& result);
-    void relayEvents();
+    /// Relays the events that have arrived; false if the stream holds something else.
+    bool relayEvents();
     /// What may have caused the crash of the current attempt's runner, if it crashed.
     std::vector<dispatch::CrashSuspect> crashSuspects() const;
     void relayWhole();
@@ -139,6 +143,10 @@
     /// Id of the last event that the caller has; 0 without one.
     std::uint64_t m_lastEvent = 0;
     bool m_hasResponseStarted = false;
+    /// Status and content type of the response that has started. The response of a later attempt continues it only if
+    /// it has the same.
+    std::uint16_t m_responseStatus = 0;
+    std::string m_responseType;
     bool m_isFinished = false;
     std::optional<TimePoint> m_firstByteAt;
 };
--- a/src/upstream/EventStreamParser.cpp
+++ b/src/upstream/EventStreamParser.cpp
@@ -11,8 +11,16 @@
     constexpr std::string_view idField = "id:";
     constexpr std::string_view endMarker = "data: [DONE]";
 
+    bool isFieldName(std::string_view name)
+    {
+        return std::all_of(name.begin(), name.end(), [](char c) { return (c >= 'a' && c <= 'z') || c == '-'; });
+    }
+
     void parseLine(std::string_view line, StreamEvent& event)
     {
+        const auto name = line.substr(0, line.find(':'));
+        event.isComment = event.isComment && name.empty();
+        event.isMalformed = event.isMalformed || !isFieldName(name);
         if (line == endMarker)
             event.isEnd = true;
         if (!line.starts_with(idField))
--- a/src/upstream/EventStreamParser.h
+++ b/src/upstream/EventStreamParser.h
@@ -15,6 +15,10 @@
     std::optional<std::uint64_t> offset;
     /// The event marks the end of the stream: `data: [DONE]`.
     bool isEnd = false;
+    /// A line is no field of an event: its name is not written in lower-case letters.
+    bool isMalformed = false;
+    /// The event has no field, only comments.
+    bool isComment = true;
 };
 
 /// Largest event in bytes. Events hold some tokens of text; bytes without the end of an event are no stream.
