Decide in one place whether a runner may get a request

availabilityOf() now states whether a runner may get a request, and if not, the first reason of a table, until when it holds, what it rests on since, and whether it binds when no other runner is left. Placement, its last resort and the load sums ask it.

--- a/src/proxy/OverloadControl.cpp
+++ b/src/proxy/OverloadControl.cpp
@@ -41,9 +41,8 @@
 bool OverloadControl::hasRateRoom(std::string_view service, TimePoint now) const
 {
     const auto runners = m_registry.runnersOf(service);
-    return std::any_of(runners.begin(), runners.end(), [&](const runners::Runner* runner) {
-        return runner->rateShare && m_registry.isUsable(*runner, now) && m_registry.isWithinRate(*runner, now);
-    });
+    return std::any_of(runners.begin(), runners.end(),
+        [&](const runners::Runner* runner) { return runner->rateShare && m_registry.isUsable(*runner, now); });
 }
 
 void OverloadControl::recordFirstByte(const std::string& service, bool isLate, TimePoint now)
--- /dev/null
+++ b/src/runners/Availability.cpp
@@ -0,0 +1,87 @@
+#include "runners/Availability.h"
+
+#include <array>
+
+namespace eelgrassford::runners {
+
+namespace {
+
+    using Finder = std::optional<Availability> (*)(const Runner&, const AvailabilityOptions&, TimePoint now);
+
+    std::optional<Availability> findListedLeaving(const Runner& runner, const AvailabilityOptions&, TimePoint)
+    {
+        if (!runner.entry.isLeaving)
+            return std::nullopt;
+        return Availability { {}, {}, runner.listedLeavingSince };
+    }
+
+    std::optional<Availability> findRateLimited(const Runner& runner, const AvailabilityOptions&, TimePoint now)
+    {
+        if (!runner.rateShare || runner.rateShare->isAvailable(now))
+            return std::nullopt;
+        return Availability { {}, runner.rateShare->availableAt(), runner.limit.statedAt };
+    }
+
+    std::optional<Availability> findSuspended(const Runner& runner, const AvailabilityOptions&, TimePoint now)
+    {
+        if (now >= runner.suspendedUntil)
+            return std::nullopt;
+        return Availability { {}, runner.suspendedUntil, runner.suspendedAt };
+    }
+
+    std::optional<Availability> findOnProbation(const Runner& runner, const AvailabilityOptions&, TimePoint)
+    {
+        if (!runner.isOnProbation || runner.ownLoad == 0)
+            return std::nullopt;
+        return Availability { {}, {}, runner.suspendedAt };
+    }
+
+    std::optional<Availability> findSuspendedByPeers(
+        const Runner& runner, const AvailabilityOptions& options, TimePoint now)
+    {
+        // A single daemon may have lost its own link to the runner, so a suspension by a peer needs confirmation: by a
+        // second peer, or by a connection failure of this daemon. One request at a time of a runner on probation tells
+        // more than either.
+        const auto confirmations = runner.suspendedByPeers + (runner.consecutiveConnectionFailures > 0 ? 1 : 0);
+        if (runner.isOnProbation || runner.suspendedByPeers == 0 || confirmations < 2
+            || now - runner.lastServedAt < options.ownSuccessLifetime)
+            return std::nullopt;
+        return Availability {};
+    }
+
+    struct Rule {
+        Exclusion exclusion;
+        std::string_view name;
+        bool isBinding;
+        Finder find;
+    };
+
+    /// In the order of Exclusion, the binding ones first.
+    constexpr std::array rules = {
+        Rule { Exclusion::ListedLeaving, "leaving", true, findListedLeaving },
+        Rule { Exclusion::RateLimited, "rate-limited", true, findRateLimited },
+        Rule { Exclusion::Suspended, "suspended", false, findSuspended },
+        Rule { Exclusion::OnProbation, "probation", false, findOnProbation },
+        Rule { Exclusion::SuspendedByPeers, "suspended-by-peers", false, findSuspendedByPeers },
+    };
+
+    const Rule& ruleOf(Exclusion exclusion) { return rules[static_cast<std::size_t>(exclusion)]; }
+
+}
+
+std::string_view nameOf(Exclusion exclusion) { return ruleOf(exclusion).name; }
+
+bool Availability::isBinding() const { return exclusion && ruleOf(*exclusion).isBinding; }
+
+Availability availabilityOf(const Runner& runner, const AvailabilityOptions& options, TimePoint now)
+{
+    for (const auto& rule : rules) {
+        if (auto found = rule.find(runner, options, now)) {
+            found->exclusion = rule.exclusion;
+            return *found;
+        }
+    }
+    return {};
+}
+
+}
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -19,7 +19,7 @@
 
     bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
-        return registry.isUsable(runner, now) && registry.isWithinRate(runner, now) && !isExcluded(runner, request);
+        return registry.isUsable(runner, now) && !isExcluded(runner, request);
     }
 
     /// Load per slot, with the penalties for distance and failures.
@@ -50,18 +50,25 @@
         return toUnitInterval(mix64(request.affinityKey, runner.identity));
     }
 
-    /// Chooses a suspended runner. The suspension may be wrong or outdated, and an attempt serves the caller better
-    /// than a refusal; but not one whose rate limit does not allow the request.
+    void recordExclusion(Exclusion exclusion, std::optional<TimePoint> until, Placement& result)
+    {
+        if (!until || (result.availableAt && *result.availableAt <= *until))
+            return;
+        result.availableAt = until;
+        result.awaited = exclusion;
+    }
+
+    /// Chooses a runner whose exclusion is not binding. It may be wrong or outdated, and an attempt serves the caller
+    /// better than a refusal.
     void chooseLastResort(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
     {
         BestCandidate best;
         for (auto* runner : registry.runnersOf(request.service)) {
-            if (runner->entry.isLeaving || isExcluded(*runner, request))
+            if (isExcluded(*runner, request))
                 continue;
-            if (!registry.isWithinRate(*runner, now)) {
-                const auto at = runner->rateShare->availableAt();
-                if (at && (!result.availableAt || *at < *result.availableAt))
-                    result.availableAt = at;
+            const auto availability = registry.availability(*runner, now);
+            if (availability.isBinding()) {
+                recordExclusion(*availability.exclusion, availability.until, result);
                 continue;
             }
             best.consider(runner, toSeconds(runner->suspendedUntil.time_since_epoch()),
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -59,9 +59,10 @@
     double bound = 0.0;
     /// Number of runners that could take the request.
     std::size_t usableRunners = 0;
-    /// Without a runner: time at which the first one may take the request whose rate limit does not allow it now; empty
-    /// if there is none.
+    /// Without a runner: time at which the first one may take the request; empty if that is not known.
     std::optional<TimePoint> availableAt;
+    /// The exclusion that ends then.
+    std::optional<Exclusion> awaited;
 };
 
 /// @brief Load bound of placement: a multiple of the mean load plus a constant.
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -55,6 +55,10 @@
             runner->listedSince = now;
         }
         runner->entry = entry;
+        if (!entry.isLeaving)
+            runner->listedLeavingSince.reset();
+        else if (!runner->listedLeavingSince)
+            runner->listedLeavingSince = now;
     }
     m_byService.clear();
     for (const auto& [id, runner] : m_runners)
@@ -73,19 +77,6 @@
     return found == m_byService.end() ? std::span<Runner* const> {} : std::span<Runner* const>(found->second);
 }
 
-bool Registry::isUsable(const Runner& runner, TimePoint now) const
-{
-    if (runner.entry.isLeaving || now < runner.suspendedUntil)
-        return false;
-    if (runner.isOnProbation)
-        return runner.ownLoad == 0;
-    // A single daemon may have lost its own link to the runner, so a suspension by a peer needs confirmation: by a
-    // second peer, or by a connection failure of this daemon.
-    const auto confirmations = runner.suspendedByPeers + (runner.consecutiveConnectionFailures > 0 ? 1 : 0);
-    return runner.suspendedByPeers == 0 || confirmations < 2
-        || now - runner.lastServedAt < m_options.ownSuccessLifetime;
-}
-
 bool Registry::isRecentlyAdded(const Runner& runner, TimePoint now) const
 {
     const bool wasThereBefore
@@ -182,6 +173,7 @@
     case Observation::Replaced:
         // A new listing will replace the runner; until then nothing more goes to that address.
         runner.suspendedUntil = now + m_options.longestSuspension;
+        runner.suspendedAt = now;
         return true;
     case Observation::Declined:
     case Observation::None:
@@ -250,11 +242,6 @@
         runner.rateShare.emplace(share, toUnitInterval(mix64(m_fleet.self, runner.identity)), now);
 }
 
-bool Registry::isWithinRate(const Runner& runner, TimePoint now) const
-{
-    return !runner.rateShare || runner.rateShare->isAvailable(now);
-}
-
 bool Registry::suspendForConnectionFailures(Runner& runner, TimePoint now)
 {
     if (!suspend(runner, runner.nextSuspension, now))
@@ -268,6 +255,7 @@
     if (now < runner.suspendedUntil || !canSuspend(runner, now))
         return false;
     runner.suspendedUntil = now + duration;
+    runner.suspendedAt = now;
     runner.isOnProbation = true;
     return true;
 }
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "runners/Availability.h"
 #include "runners/LimitShare.h"
 #include "runners/Runner.h"
 #include <functional>
@@ -32,8 +33,7 @@
     /// Time without a byte after which a runner with requests in flight is probed. A step of its engine takes some
     /// milliseconds, a long prompt some hundred.
     Duration silenceThreshold = std::chrono::milliseconds(400);
-    /// Time for which a request served for this daemon outweighs suspensions by its peers.
-    Duration ownSuccessLifetime = std::chrono::milliseconds(300);
+    AvailabilityOptions availability;
     /// Largest share of a service's runners that may be suspended.
     double maximumSuspendedShare = 0.5;
     /// Time for which a new runner counts as recently added: it lacks the prompts that the others have cached.
@@ -62,8 +62,12 @@
     std::span<Runner* const> runnersOf(std::string_view service) const;
     const std::map<std::string, std::unique_ptr<Runner>, std::less<>>& runners() const { return m_runners; }
 
-    /// @brief Whether a runner may get another request now.
-    bool isUsable(const Runner& runner, TimePoint now) const;
+    /// @brief Whether a runner may get another request now, and if not, why and until when.
+    Availability availability(const Runner& runner, TimePoint now) const
+    {
+        return availabilityOf(runner, m_options.availability, now);
+    }
+    bool isUsable(const Runner& runner, TimePoint now) const { return availability(runner, now).isAvailable(); }
     /// @brief Whether a runner was listed recently, after the initial listing of this daemon.
     bool isRecentlyAdded(const Runner& runner, TimePoint now) const;
     /// @brief Requests in flight to a runner from all daemons: the sum of the daemons' counts, or the load that the
@@ -98,8 +102,6 @@
     /// @brief Sets the daemons among which the limits of runners are shared.
     void setFleet(FleetView fleet, TimePoint now);
     const FleetView& fleet() const { return m_fleet; }
-    /// @brief Whether this daemon's share of the limit of a runner allows a request now.
-    bool isWithinRate(const Runner& runner, TimePoint now) const;
     /// @brief Reports of all other daemons about a runner, summed up.
     struct PeerSummary {
         /// Their requests in flight to the runner.
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -91,6 +91,8 @@
     double peerFailed = 0.0;
     std::uint32_t suspendedByPeers = 0;
     TimePoint suspendedUntil {};
+    /// Start of the last suspension.
+    std::optional<TimePoint> suspendedAt;
     /// Length of the next suspension after a connection failure; doubles each time until the runner serves again.
     Duration nextSuspension {};
     /// Set by a suspension and cleared when the runner serves a request; meanwhile it gets one request at a time.
@@ -99,6 +101,8 @@
     TimePoint lastActivityAt {};
     /// A probe of its reachability is in progress.
     bool isBeingProbed = false;
+    /// Time at which the platform's listing first showed it as leaving.
+    std::optional<TimePoint> listedLeavingSince;
     /// Time at which the platform's listing first contained it.
     TimePoint listedSince {};
 
