Send nothing new to a runner that states that it leaves

Leaving was learnt from the store alone, so a daemon that was cut off from it, or read an older copy, went on sending.

The statement is decoded from every response of the runner but 421, which another runner sends. It binds at once, until a new lifetime is listed: not even a removal and a new listing by an older copy ends it. Requests that wait for a connection to the runner are recalled and placed again, without charge to the retry budget, as nothing was sent. Other daemons learn of it by digests and sums; releases that do not know the field ignore it.

A limit that was told of a runner keeps its place on the wire.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -67,7 +67,9 @@
           [this] { return std::uniform_real_distribution<double>()(m_random); },
           { [this] { publish(); },
               [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); },
-              [this](std::vector<fleet::RunnerLimit> limits) { m_traffic.mergeLimits(std::move(limits)); } })
+              [this](std::vector<fleet::RunnerStatement> statements) {
+                  m_traffic.mergeStatements(std::move(statements));
+              } })
     , m_lastTick(currentTime())
 {
     m_traffic.setReportListener([this](proxy::RunnerReport report) {
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -126,7 +126,7 @@
 
 fleet::LocalState FleetLink::localState() const
 {
-    return { m_report.states, m_report.crashes, m_report.limits, m_mirror.changeRevision(), provenAt() };
+    return { m_report.states, m_report.crashes, m_report.statements, m_mirror.changeRevision(), provenAt() };
 }
 
 void FleetLink::send(const std::vector<fleet::Gossip::Outgoing>& outgoing)
@@ -165,8 +165,8 @@
     adoptProof(news->changeRevision, news->provenAt);
     if (!news->crashes.empty())
         m_events.crashRecordsReceived(news->crashes);
-    if (!news->limits.empty())
-        m_events.limitsReceived(news->limits);
+    if (!news->statements.empty())
+        m_events.statementsReceived(news->statements);
 }
 
 void FleetLink::onReply(const fleet::FreshnessReply& reply, TimePoint now)
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -21,8 +21,8 @@
         std::function<void()> mirrorChanged;
         /// Another daemon sent crash records in a digest.
         std::function<void(std::vector<dispatch::CrashRecord>)> crashRecordsReceived;
-        /// Another daemon sent limits of runners.
-        std::function<void(std::vector<fleet::RunnerLimit>)> limitsReceived;
+        /// Another daemon sent what runners stated of themselves.
+        std::function<void(std::vector<fleet::RunnerStatement>)> statementsReceived;
     };
 
     /// @param random returns uniform numbers in [0, 1)
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -113,9 +113,9 @@
     asio::post(m_context, [this, records = std::move(records)] { m_router.mergeCrashRecords(records); });
 }
 
-void TrafficLoop::mergeLimits(std::vector<fleet::RunnerLimit> limits)
+void TrafficLoop::mergeStatements(std::vector<fleet::RunnerStatement> statements)
 {
-    asio::post(m_context, [this, limits = std::move(limits)] { m_router.mergeLimits(limits); });
+    asio::post(m_context, [this, statements = std::move(statements)] { m_router.mergeStatements(statements); });
 }
 
 void TrafficLoop::setFleet(std::vector<std::string> otherIps)
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -29,8 +29,8 @@
     void setPeerSummaries(std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> summaries);
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::vector<dispatch::CrashRecord> records);
-    /// @brief Merges limits of runners that other daemons know.
-    void mergeLimits(std::vector<fleet::RunnerLimit> limits);
+    /// @brief Merges what runners stated of themselves to other daemons.
+    void mergeStatements(std::vector<fleet::RunnerStatement> statements);
     /// @brief Sets the other daemons, among which the limits of runners and the retry allowance are shared.
     void setFleet(std::vector<std::string> otherIps);
     /// @brief Begins a graceful stop.
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -84,30 +84,54 @@
         return result;
     }
 
-    json limitsToJson(std::span<const RunnerLimit> limits)
+    json limitsToJson(std::span<const RunnerStatement> statements)
     {
         auto result = json::array();
-        for (const auto& limit : limits) {
+        for (const auto& limit : statements) {
+            if (limit.isLeaving)
+                continue;
             const auto rate = limit.perSecond ? std::llround(*limit.perSecond * thousandthsPerRequest) : unlimitedRate;
             result.push_back({ limit.runner, rate, toMillisecondCount(limit.age) });
         }
         return result;
     }
 
-    /// @param index index of the limits, which daemons of earlier releases do not send
-    std::vector<RunnerLimit> toLimits(const json& fields, std::size_t index)
+    /// Leaving runners are apart from limits: daemons of earlier releases would take them for ends of limits.
+    json leavingToJson(std::span<const RunnerStatement> statements)
     {
-        std::vector<RunnerLimit> result;
-        if (fields.size() <= index)
+        auto result = json::array();
+        for (const auto& statement : statements) {
+            if (statement.isLeaving)
+                result.push_back({ statement.runner, toMillisecondCount(statement.age) });
+        }
+        return result;
+    }
+
+    /// A statement from the future would outweigh every later one.
+    Duration toAge(const json& milliseconds)
+    {
+        constexpr std::int64_t maxMilliseconds = 86400 * 1000;
+        return std::chrono::milliseconds(
+            std::clamp<std::int64_t>(milliseconds.get<std::int64_t>(), 0, maxMilliseconds));
+    }
+
+    /// @param limitsIndex index of the limits, which daemons of earlier releases do not send; leaving runners follow
+    std::vector<RunnerStatement> toStatements(const json& fields, std::size_t limitsIndex)
+    {
+        std::vector<RunnerStatement> result;
+        if (fields.size() <= limitsIndex)
             return result;
-        for (const auto& entry : fields.at(index)) {
-            // A limit from the future would outweigh every later one.
-            const auto ageMs = std::max<std::int64_t>(0, entry.at(2).get<std::int64_t>());
-            RunnerLimit limit { entry.at(0).get<RunnerKey>(), {}, std::chrono::milliseconds(ageMs) };
+        for (const auto& entry : fields.at(limitsIndex)) {
+            RunnerStatement limit { entry.at(0).get<RunnerKey>(), {}, toAge(entry.at(2)) };
             if (const auto rate = entry.at(1).get<std::int64_t>(); rate >= 0)
                 limit.perSecond = static_cast<double>(rate) / thousandthsPerRequest;
             result.push_back(limit);
         }
+        const auto leavingIndex = limitsIndex + 1;
+        if (fields.size() <= leavingIndex)
+            return result;
+        for (const auto& entry : fields.at(leavingIndex))
+            result.push_back({ entry.at(0).get<RunnerKey>(), {}, toAge(entry.at(1)), true, true });
         return result;
     }
 
@@ -119,7 +143,7 @@
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
             runners, requestsToJson(digest.crashes), digest.isLeaving, digest.aggregator,
-            promptPartsToJson(digest.crashes), limitsToJson(digest.limits) };
+            promptPartsToJson(digest.crashes), limitsToJson(digest.statements), leavingToJson(digest.statements) };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -143,7 +167,7 @@
         // Daemons of earlier releases do not send it.
         if (fields.size() > 9)
             digest.aggregator = fields.at(9).get<std::string>();
-        digest.limits = toLimits(fields, 11);
+        digest.statements = toStatements(fields, 11);
         return digest;
     }
 
@@ -168,7 +192,7 @@
             summary.runners.push_back({ values[i], values[i + 1], values[i + 2], values[i + 3], values[i + 4] });
         summary.crashes = toCrashRecords(fields, 10, 12);
         summary.isLeaving = fields.at(11).get<bool>();
-        summary.limits = toLimits(fields, 13);
+        summary.statements = toStatements(fields, 13);
         return summary;
     }
 
@@ -194,7 +218,7 @@
     json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
                       summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
                       values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes),
-                      limitsToJson(summary.limits) },
+                      limitsToJson(summary.statements), leavingToJson(summary.statements) },
         bytes);
     return bytes;
 }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -28,15 +28,18 @@
     bool operator==(const RunnerState&) const = default;
 };
 
-/// @brief The request rate that a runner stated to accept from all daemons together.
-struct RunnerLimit {
+/// @brief What a runner stated of itself in a response: the request rate that it accepts from all daemons together, or
+/// that it leaves.
+struct RunnerStatement {
     RunnerKey runner = 0;
-    /// Requests per second; empty if the runner states no limit any more.
+    /// Requests per second; empty if the runner states no limit any more. Without meaning if it leaves.
     std::optional<double> perSecond;
     /// Time since the runner stated this.
     Duration age {};
     /// Whether the runner stated it to the sender, rather than to another daemon that told the sender.
     bool isOwn = true;
+    /// Whether it stated that it leaves, rather than a limit.
+    bool isLeaving = false;
 };
 
 /// @brief State that a daemon gossips to the others several times a second.
@@ -59,8 +62,8 @@
     bool isLeaving = false;
     /// IP address of the only daemon that counts the sender's states; empty if every receiver counts them.
     std::string aggregator;
-    /// Limits that runners stated to the sender.
-    std::vector<RunnerLimit> limits;
+    /// What runners stated to the sender.
+    std::vector<RunnerStatement> statements;
 };
 
 /// @brief State of one runner, summed over several daemons.
@@ -103,8 +106,8 @@
     std::vector<dispatch::CrashRecord> crashes;
     /// The sender stops now; its daemons choose another aggregator.
     bool isLeaving = false;
-    /// Limits of runners that the sender knows.
-    std::vector<RunnerLimit> limits;
+    /// What runners stated, as the sender knows.
+    std::vector<RunnerStatement> statements;
 };
 
 /// @brief Asks a daemon that reads the store how fresh its mirror is.
--- a/src/fleet/Gossip.cpp
+++ b/src/fleet/Gossip.cpp
@@ -124,7 +124,7 @@
     auto digest = createDigest(state);
     digest.runners.clear();
     digest.crashes.clear();
-    digest.limits.clear();
+    digest.statements.clear();
     digest.members = m_members.sampleHeard(m_options.members.membersPerDigest, now);
     const auto& ip = known[std::min(index, known.size() - 1)];
     // The aggregator's copy of the state must not be replaced by an empty one.
@@ -171,7 +171,7 @@
         m_members.mention(digest.members, Evidence::Reported, now);
     if (digest.isLeaving)
         m_aggregation.recordLeaving(digest.ip, now);
-    return News { digest.ip, digest.changeRevision, digest.crashes, digest.limits, std::nullopt };
+    return News { digest.ip, digest.changeRevision, digest.crashes, digest.statements, std::nullopt };
 }
 
 std::optional<Gossip::News> Gossip::receive(const Summary& summary, TimePoint now)
@@ -183,7 +183,7 @@
     const std::vector<std::string> sender { summary.ip };
     if (!summary.isLeaving)
         m_members.mention(sender, Evidence::Reported, now);
-    News news { summary.ip, summary.changeRevision, summary.crashes, summary.limits, std::nullopt };
+    News news { summary.ip, summary.changeRevision, summary.crashes, summary.statements, std::nullopt };
     // The age counts from the report that the summary acknowledges, so that a delay makes the proof older, never newer.
     const auto reportedAt = m_aggregation.reportedAt(summary.acknowledged);
     if (!isGroup && reportedAt && summary.proofAgeMs >= 0)
@@ -202,9 +202,9 @@
     digest.runners = state.runners;
     digest.crashes = state.crashes;
     digest.aggregator = m_aggregation.aggregator();
-    // Daemons repeat only what runners told them: a limit that they repeated to each other would never grow old.
-    std::copy_if(state.limits.begin(), state.limits.end(), std::back_inserter(digest.limits),
-        [](const RunnerLimit& limit) { return limit.isOwn; });
+    // Daemons repeat only what runners told them: a statement that they repeated to each other would never grow old.
+    std::copy_if(state.statements.begin(), state.statements.end(), std::back_inserter(digest.statements),
+        [](const RunnerStatement& statement) { return statement.isOwn; });
     return digest;
 }
 
@@ -231,7 +231,7 @@
     }
     summary.runners = toTotals(sum);
     summary.crashes = state.crashes;
-    summary.limits = state.limits;
+    summary.statements = state.statements;
     return summary;
 }
 
--- a/src/fleet/Gossip.h
+++ b/src/fleet/Gossip.h
@@ -26,7 +26,7 @@
 struct LocalState {
     std::vector<RunnerState> runners;
     std::vector<dispatch::CrashRecord> crashes;
-    std::vector<RunnerLimit> limits;
+    std::vector<RunnerStatement> statements;
     /// Revision of the newest change of the store that the mirror holds.
     std::uint64_t changeRevision = 0;
     /// Time of the newest freshness proof, from the store or from another daemon.
@@ -63,7 +63,7 @@
         std::string ip;
         std::uint64_t changeRevision = 0;
         std::vector<dispatch::CrashRecord> crashes;
-        std::vector<RunnerLimit> limits;
+        std::vector<RunnerStatement> statements;
         /// Time at which a mirror that holds every change up to changeRevision is proven current.
         std::optional<TimePoint> provenAt;
     };
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -70,6 +70,8 @@
     std::optional<runners::ReportedLoad> load;
     /// Requests per second that the runner accepts from all daemons together; empty if it states no limit.
     std::optional<double> rateLimit;
+    /// The runner has begun to leave.
+    bool isLeaving = false;
 };
 
 /// @brief Reason why a request cannot be decoded.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -17,8 +17,8 @@
     /// Retry-After of a request that crashes runners, after which it may be tried again.
     constexpr Duration retryAfterQuarantine = std::chrono::minutes(10);
     constexpr double tenthsPerRequest = 10.0;
-    /// Time for which other daemons are told of a limit of a runner, or of its end.
-    constexpr Duration limitReportTime = std::chrono::seconds(10);
+    /// Time for which other daemons are told of what a runner stated.
+    constexpr Duration statementReportTime = std::chrono::seconds(10);
     /// Logged in place of a rate that is not limited.
     constexpr double noLimit = -1.0;
     /// Served requests, in tenths, from which an otherwise idle and healthy runner is reported to other daemons. Fewer
@@ -211,38 +211,55 @@
 
 RunnerReport Router::runnerReport(TimePoint now) const
 {
-    return { runnerStates(now), m_crashes.records(now), recentLimits(now) };
+    return { runnerStates(now), m_crashes.records(now), recentStatements(now) };
 }
 
-std::vector<fleet::RunnerLimit> Router::recentLimits(TimePoint now) const
+std::vector<fleet::RunnerStatement> Router::recentStatements(TimePoint now) const
 {
-    std::vector<fleet::RunnerLimit> result;
+    std::vector<fleet::RunnerStatement> result;
     for (const auto& [id, runner] : m_registry.runners()) {
+        const auto key = static_cast<fleet::RunnerKey>(runner->identity);
         const auto& limit = runner->limit;
-        if (limit.statedAt != TimePoint {} && now - limit.statedAt < limitReportTime)
-            result.push_back({ static_cast<fleet::RunnerKey>(runner->identity), limit.perSecond, now - limit.statedAt,
-                runner->isLimitOwn });
+        if (limit.statedAt != TimePoint {} && now - limit.statedAt < statementReportTime)
+            result.push_back({ key, limit.perSecond, now - limit.statedAt, runner->isLimitOwn });
+        if (runner->statedLeavingAt && now - *runner->statedLeavingAt < statementReportTime)
+            result.push_back({ key, {}, now - *runner->statedLeavingAt, runner->isLeavingOwn, true });
     }
     return result;
 }
 
-void Router::mergeLimits(std::span<const fleet::RunnerLimit> limits)
+void Router::mergeStatements(std::span<const fleet::RunnerStatement> statements)
 {
     const auto now = m_clock();
     std::unordered_map<fleet::RunnerKey, runners::Runner*> runners;
     for (const auto& [id, runner] : m_registry.runners())
         runners[static_cast<fleet::RunnerKey>(runner->identity)] = runner.get();
-    for (const auto& limit : limits) {
-        const auto found = runners.find(limit.runner);
+    for (const auto& statement : statements) {
+        const auto found = runners.find(statement.runner);
         if (found == runners.end())
             continue;
         auto& runner = *found->second;
+        const auto statedAt = now - statement.age;
         const auto before = runner.limit.perSecond;
-        if (m_registry.mergeLimit(runner, { limit.perSecond, now - limit.age }, now))
+        if (statement.isLeaving) {
+            if (m_registry.mergeLeaving(runner, statedAt))
+                onRunnerLeaving(runner, {}, now);
+        } else if (m_registry.mergeLimit(runner, { statement.perSecond, statedAt }, now)) {
             logLimit(runner, before, {});
+        }
     }
 }
 
+void Router::onRunnerLeaving(const runners::Runner& runner, std::string_view request, TimePoint now)
+{
+    telemetry::logInfo("runner-leaving",
+        { { "runner", runner.entry.id }, { "request", request },
+            { "age_ms", toMilliseconds(now - runner.statedLeavingAt.value_or(now)) },
+            { "listed", runner.entry.isLeaving }, { "requests", runner.ownLoad } });
+    for (const auto& session : requestsAt(runner.entry.id))
+        session->recall("the runner leaves");
+}
+
 void Router::logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const
 {
     telemetry::logInfo("runner-limit",
@@ -382,13 +399,18 @@
 
 void Router::failAttemptsAt(const std::string& runner)
 {
-    std::vector<std::shared_ptr<Session>> waiting;
+    for (const auto& session : requestsAt(runner))
+        session->onRunnerUnreachable();
+}
+
+std::vector<std::shared_ptr<Session>> Router::requestsAt(std::string_view runner) const
+{
+    std::vector<std::shared_ptr<Session>> result;
     for (auto* session : m_inFlight->sessions) {
         if (session->isWaitingFor(runner))
-            waiting.push_back(session->shared_from_this());
+            result.push_back(session->shared_from_this());
     }
-    for (const auto& session : waiting)
-        session->onRunnerUnreachable();
+    return result;
 }
 
 void Router::updateMetrics(TimePoint now)
@@ -400,11 +422,13 @@
     for (const auto& [id, runner] : m_registry.runners()) {
         const auto& service = runner->entry.service;
         auto& counts = states[service];
-        const bool isSuspended = now < runner->suspendedUntil;
-        for (const auto& [state, isInState] : { std::pair { "leaving", runner->entry.isLeaving },
-                 { "suspended", !runner->entry.isLeaving && isSuspended },
-                 { "usable", !runner->entry.isLeaving && !isSuspended } })
-            counts[state] += isInState ? 1.0 : 0.0;
+        if (counts.empty()) {
+            counts["usable"] = 0.0;
+            for (std::size_t i = 0; i < runners::exclusionCount; ++i)
+                counts[std::string(nameOf(static_cast<runners::Exclusion>(i)))] = 0.0;
+        }
+        const auto exclusion = m_registry.availability(*runner, now).exclusion;
+        counts[exclusion ? std::string(nameOf(*exclusion)) : "usable"] += 1.0;
         limited[service] += runner->limit.perSecond ? 1.0 : 0.0;
         const auto pool = m_pools.find(id);
         connections[service] += pool == m_pools.end() ? 0 : pool->second->openedCount();
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -87,8 +87,8 @@
     void setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries);
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::span<const dispatch::CrashRecord> records);
-    /// @brief Merges limits of runners that other daemons know.
-    void mergeLimits(std::span<const fleet::RunnerLimit> limits);
+    /// @brief Merges what runners stated of themselves to other daemons.
+    void mergeStatements(std::span<const fleet::RunnerStatement> statements);
     /// @brief Sets the daemons among which the limits of runners are shared, by their addresses.
     void setFleet(std::string_view ownIp, std::span<const std::string> otherIps);
     /// @brief Begins a graceful stop: refuses new requests that may not end in time.
@@ -123,11 +123,16 @@
     using ProbeResult = upstream::ConnectionPool::ProbeResult;
 
     std::vector<fleet::RunnerState> runnerStates(TimePoint now) const;
-    /// Newest limits of runners, and ends of limits.
-    std::vector<fleet::RunnerLimit> recentLimits(TimePoint now) const;
+    /// Newest limits of runners, ends of limits, and runners that leave.
+    std::vector<fleet::RunnerStatement> recentStatements(TimePoint now) const;
     /// Logs that a runner begins, changes or ends a limit.
     /// @param request attempt id of the request whose response said so; empty if another daemon told of it
     void logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const;
+    /// Logs that a runner states that it leaves, and sends the requests elsewhere that wait for a connection to it.
+    /// @param request attempt id of the request whose response said so; empty if another daemon told of it
+    void onRunnerLeaving(const runners::Runner& runner, std::string_view request, TimePoint now);
+    /// Requests whose current attempt is at a runner.
+    std::vector<std::shared_ptr<Session>> requestsAt(std::string_view runner) const;
     /// Whether a probe that began at @a begunAt shows that its runner cannot be reached.
     bool isUnreachable(ProbeResult result, TimePoint begunAt) const;
     /// Fails the attempts that wait for an unreachable runner.
--- a/src/proxy/RunnerReport.h
+++ b/src/proxy/RunnerReport.h
@@ -12,8 +12,8 @@
     std::vector<fleet::RunnerState> states;
     /// Requests, and parts of prompts, that crashed runners.
     std::vector<dispatch::CrashRecord> crashes;
-    /// Request rates that runners stated to accept.
-    std::vector<fleet::RunnerLimit> limits;
+    /// What runners stated of themselves.
+    std::vector<fleet::RunnerStatement> statements;
 };
 
 }
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -184,7 +184,7 @@
     if (runner && attempt.metadata.load)
         m_router.m_registry.recordReportedLoad(*runner, *attempt.metadata.load, attempt.lastProgressAt);
     if (runner && !attempt.metadata.isMisdirected)
-        recordLimit(*runner);
+        recordStatements(*runner);
     attempt.isStreaming = isStream(head, attempt.metadata);
 }
 
@@ -205,12 +205,14 @@
     m_responder->begin(head.status, m_router.m_codec.encodeResponse(head.headers));
 }
 
-void Session::recordLimit(runners::Runner& runner) const
+void Session::recordStatements(runners::Runner& runner) const
 {
     const auto before = runner.limit.perSecond;
     const auto now = m_router.now();
     if (m_router.m_registry.recordLimit(runner, m_attempt->metadata.rateLimit, m_attempt->sentAt, now))
         m_router.logLimit(runner, before, m_admitted.metadata.attemptId);
+    if (m_attempt->metadata.isLeaving && m_router.m_registry.recordLeaving(runner, now))
+        m_router.onRunnerLeaving(runner, m_admitted.metadata.attemptId, now);
 }
 
 void Session::onBytes(std::string_view bytes)
@@ -438,6 +440,13 @@
     return [this, now] { return m_router.budgetOf(m_admitted.service, now).tryTake(now); };
 }
 
+void Session::recall(std::string_view detail)
+{
+    if (m_isFinished || !m_attempt || !upstream::ConnectionPool::tryRecall(m_attempt->handle))
+        return;
+    fail(AttemptFailure::NeverConnected, Observation::None, detail);
+}
+
 void Session::onRunnerUnreachable()
 {
     if (m_isFinished || !m_attempt)
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -36,6 +36,8 @@
     void start();
     /// @brief Whether the current attempt is at @a runner.
     bool isWaitingFor(std::string_view runner) const { return m_attempt && m_attempt->runner == runner; }
+    /// @brief Sends the request to another runner if nothing of it has been written to its current one.
+    void recall(std::string_view detail);
     /// @brief Fails the current attempt because its runner cannot be reached any more.
     void onRunnerUnreachable();
 
@@ -83,8 +85,9 @@
     /// Whether the body of a response is relayed event by event.
     bool isStream(const http::MessageHead& head, const ResponseMetadata& metadata) const;
     void startResponse();
-    /// Records whether the response of the current attempt limits the rate of requests to its runner.
-    void recordLimit(runners::Runner& runner) const;
+    /// Records what the response of the current attempt says of its runner: a limit of its request rate, that it
+    /// leaves.
+    void recordStatements(runners::Runner& runner) const;
     void onBytes(std::string_view bytes);
     /// Gives up the current attempt because of what its runner sent.
     void failMalformed(std::string_view detail);
--- a/src/runners/Availability.cpp
+++ b/src/runners/Availability.cpp
@@ -8,6 +8,13 @@
 
     using Finder = std::optional<Availability> (*)(const Runner&, const AvailabilityOptions&, TimePoint now);
 
+    std::optional<Availability> findStatedLeaving(const Runner& runner, const AvailabilityOptions&, TimePoint)
+    {
+        if (!runner.statedLeavingAt)
+            return std::nullopt;
+        return Availability { {}, {}, runner.statedLeavingAt };
+    }
+
     std::optional<Availability> findListedLeaving(const Runner& runner, const AvailabilityOptions&, TimePoint)
     {
         if (!runner.entry.isLeaving)
@@ -58,6 +65,7 @@
 
     /// In the order of Exclusion, the binding ones first.
     constexpr std::array rules = {
+        Rule { Exclusion::StatedLeaving, "stated-leaving", true, findStatedLeaving },
         Rule { Exclusion::ListedLeaving, "leaving", true, findListedLeaving },
         Rule { Exclusion::RateLimited, "rate-limited", true, findRateLimited },
         Rule { Exclusion::Suspended, "suspended", false, findSuspended },
@@ -65,6 +73,8 @@
         Rule { Exclusion::SuspendedByPeers, "suspended-by-peers", false, findSuspendedByPeers },
     };
 
+    static_assert(rules.size() == exclusionCount);
+
     const Rule& ruleOf(Exclusion exclusion) { return rules[static_cast<std::size_t>(exclusion)]; }
 
 }
--- a/src/runners/Availability.h
+++ b/src/runners/Availability.h
@@ -8,6 +8,8 @@
 
 /// @brief Why a runner gets no new request. The first one that holds, in this order, is stated.
 enum class Exclusion {
+    /// It stated in a response that it leaves.
+    StatedLeaving,
     /// The platform lists it as leaving.
     ListedLeaving,
     /// This daemon's share of the request rate that it accepts is used up.
@@ -22,6 +24,9 @@
 
 std::string_view nameOf(Exclusion exclusion);
 
+/// Number of exclusions, whose values begin at 0.
+constexpr std::size_t exclusionCount = 6;
+
 /// @brief Whether a runner may get a request, and if not, why and until when.
 struct Availability {
     /// Empty if the runner may get a request.
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -79,14 +79,16 @@
     }
 
     /// Finds the runner that probably has the shared prefix cached: the first in its order that is neither the chosen
-    /// one nor recently added. Leaving runners count, as they still serve for a while and keep their cache.
+    /// one nor recently added. Runners that are listed as leaving count, as they still serve for a while and keep their
+    /// cache, but not those that state themselves that they leave.
     void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
     {
         BestCandidate first;
         BestCandidate source;
         for (auto* runner : registry.runnersOf(request.service)) {
             first.consider(runner, -rendezvousScore(*runner, request), 0);
-            if (runner == result.runner || now < runner->suspendedUntil || registry.isRecentlyAdded(*runner, now))
+            if (runner == result.runner || now < runner->suspendedUntil || runner->statedLeavingAt
+                || registry.isRecentlyAdded(*runner, now))
                 continue;
             source.consider(runner, -rendezvousScore(*runner, request), 0);
         }
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -42,8 +42,11 @@
             continue;
         }
         removed(runner->first);
+        rememberLeaving(*runner->second);
         runner = m_runners.erase(runner);
     }
+    std::erase_if(
+        m_unlistedLeaving, [&](const auto& leaving) { return now - leaving.second > m_options.leavingMemory; });
     if (!m_firstListedAt && !entries.empty())
         m_firstListedAt = now;
     for (const auto& entry : entries) {
@@ -53,6 +56,8 @@
             runner->identity = hash64(entry.id, entry.startedAtMs);
             runner->nextSuspension = m_options.firstSuspension;
             runner->listedSince = now;
+            if (const auto leaving = m_unlistedLeaving.extract(runner->identity))
+                runner->statedLeavingAt = leaving.mapped();
         }
         runner->entry = entry;
         if (!entry.isLeaving)
@@ -213,6 +218,25 @@
     return replaceLimit(runner, limit, now);
 }
 
+bool Registry::recordLeaving(Runner& runner, TimePoint now)
+{
+    runner.isLeavingOwn = true;
+    return mergeLeaving(runner, now);
+}
+
+bool Registry::mergeLeaving(Runner& runner, TimePoint statedAt)
+{
+    const bool isNews = !runner.statedLeavingAt;
+    runner.statedLeavingAt = std::max(runner.statedLeavingAt.value_or(statedAt), statedAt);
+    return isNews;
+}
+
+void Registry::rememberLeaving(const Runner& runner)
+{
+    if (runner.statedLeavingAt)
+        m_unlistedLeaving[runner.identity] = *runner.statedLeavingAt;
+}
+
 bool Registry::replaceLimit(Runner& runner, const StatedLimit& limit, TimePoint now)
 {
     const auto before = std::exchange(runner.limit, limit).perSecond;
@@ -266,7 +290,7 @@
     std::size_t suspended = 1;
     std::size_t present = 0;
     for (const auto* other : all) {
-        if (other->entry.isLeaving)
+        if (other->isLeaving())
             continue;
         ++present;
         suspended += other != &runner && now < other->suspendedUntil ? 1 : 0;
@@ -279,7 +303,7 @@
     double sum = 0.0;
     std::size_t count = 0;
     for (const auto* runner : runnersOf(except.entry.service)) {
-        if (runner == &except || runner->entry.isLeaving)
+        if (runner == &except || runner->isLeaving())
             continue;
         sum += runner->failureRate();
         ++count;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -40,6 +40,9 @@
     Duration recentlyAddedPeriod = std::chrono::seconds(15);
     /// Time after the first listing during which listed runners are assumed to have existed before this daemon started.
     Duration initialListingPeriod = std::chrono::seconds(5);
+    /// Time for which a runner that left the listing is remembered to have stated that it leaves. Runners go on serving
+    /// for seconds after that, and an older copy of the listing may show them as ready.
+    Duration leavingMemory = std::chrono::minutes(10);
     /// Age beyond which a reported load is ignored.
     Duration reportLifetime = std::chrono::milliseconds(1000);
 };
@@ -99,6 +102,12 @@
     /// @brief Takes what another daemon knows of the limit of a runner, if it is newer.
     /// @return whether the limit began, ended or changed noticeably
     bool mergeLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
+    /// @brief Records that a response of a runner states that it leaves.
+    /// @return whether this is news
+    bool recordLeaving(Runner& runner, TimePoint now);
+    /// @brief Takes from another daemon that a runner stated at a time that it leaves.
+    /// @return whether this is news
+    bool mergeLeaving(Runner& runner, TimePoint statedAt);
     /// @brief Sets the daemons among which the limits of runners are shared.
     void setFleet(FleetView fleet, TimePoint now);
     const FleetView& fleet() const { return m_fleet; }
@@ -121,6 +130,8 @@
     bool suspend(Runner& runner, Duration duration, TimePoint now);
     bool suspendForConnectionFailures(Runner& runner, TimePoint now);
     bool canSuspend(const Runner& runner, TimePoint now) const;
+    /// @brief Remembers that a runner that is removed from the listing stated that it leaves.
+    void rememberLeaving(const Runner& runner);
     bool replaceLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
     /// @brief Computes this daemon's share of the limit of a runner.
     void updateRateShare(Runner& runner, TimePoint now) const;
@@ -132,6 +143,8 @@
     TimePoint m_lastReceivedAt {};
     FleetView m_fleet;
     std::map<std::string, std::unique_ptr<Runner>, std::less<>> m_runners;
+    /// Times at which runners that are not listed stated that they leave, by their identity.
+    std::map<std::uint64_t, TimePoint> m_unlistedLeaving;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
 };
 
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -101,11 +101,17 @@
     TimePoint lastActivityAt {};
     /// A probe of its reachability is in progress.
     bool isBeingProbed = false;
+    /// Time at which it stated in a response that it leaves; nothing but a new lifetime ends that.
+    std::optional<TimePoint> statedLeavingAt;
+    /// Whether it stated so to this daemon; otherwise another daemon told of it.
+    bool isLeavingOwn = false;
     /// Time at which the platform's listing first showed it as leaving.
     std::optional<TimePoint> listedLeavingSince;
     /// Time at which the platform's listing first contained it.
     TimePoint listedSince {};
 
+    /// @brief Whether it is about to stop, as the platform lists or as it stated itself.
+    bool isLeaving() const { return entry.isLeaving || statedLeavingAt; }
     /// @brief Requests in flight from all daemons, as the daemons count them.
     std::uint32_t knownLoad() const { return ownLoad + peerLoad; }
     /// @brief Served and failed requests of all daemons, decayed.
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -130,6 +130,7 @@
         m_socket.close(ignored);
     }
 
+    bool hasWritten() const { return m_writtenBytes > 0; }
     std::uint64_t exchange() const { return m_isBusy ? m_exchangeNumber : 0; }
 
 private:
@@ -358,6 +359,15 @@
         connection->close();
 }
 
+bool ConnectionPool::tryRecall(const Handle& handle)
+{
+    const auto connection = handle.connection.lock();
+    if (!connection || handle.exchange == 0 || connection->exchange() != handle.exchange || connection->hasWritten())
+        return false;
+    connection->close();
+    return true;
+}
+
 void ConnectionPool::probe(std::function<void(ProbeResult)> done)
 {
     struct Probe {
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -97,6 +97,9 @@
     Handle start(Exchange exchange, ExchangeEvents events);
     /// @brief Aborts an exchange without further callbacks and closes its connection.
     static void cancel(const Handle& handle);
+    /// @brief Aborts an exchange like cancel(), unless some of its request has been written.
+    /// @return whether it was aborted
+    static bool tryRecall(const Handle& handle);
     /// @brief Result of a connection attempt that sends no request.
     enum class ProbeResult {
         Accepted,
--- a/tests/fleet/FleetModel.cpp
+++ b/tests/fleet/FleetModel.cpp
@@ -103,12 +103,12 @@
     if (!news)
         return;
     daemon.state.changeRevision = std::max(daemon.state.changeRevision, news->changeRevision);
-    for (auto limit : news->limits) {
+    for (auto limit : news->statements) {
         daemon.receivedLimits.push_back(limit);
         // Other daemons are told of it, as by a router that knows it from a message.
         limit.isOwn = false;
-        std::erase_if(daemon.state.limits, [&](const auto& known) { return known.runner == limit.runner; });
-        daemon.state.limits.push_back(limit);
+        std::erase_if(daemon.state.statements, [&](const auto& known) { return known.runner == limit.runner; });
+        daemon.state.statements.push_back(limit);
     }
     if (news->provenAt)
         daemon.provenAt = std::max(daemon.provenAt.value_or(*news->provenAt), *news->provenAt);
--- a/tests/fleet/FleetModel.h
+++ b/tests/fleet/FleetModel.h
@@ -28,7 +28,7 @@
         /// Newest proof that a message brought.
         std::optional<TimePoint> provenAt;
         /// Limits of runners that messages brought.
-        std::vector<fleet::RunnerLimit> receivedLimits;
+        std::vector<fleet::RunnerStatement> receivedLimits;
     };
 
     FleetModel(std::size_t size, std::uint64_t seed, const fleet::Gossip::Options& options = {});
--- a/tests/fleet/GossipTest.cpp
+++ b/tests/fleet/GossipTest.cpp
@@ -211,7 +211,7 @@
         FleetModel model(size, 10, smallGroups());
         model.run(settleTime);
         const auto teller = size == 7 ? 0 : findReporter(model);
-        model.daemons()[teller].state.limits = { { runner, 3.4, milliseconds(100) } };
+        model.daemons()[teller].state.statements = { { runner, 3.4, milliseconds(100) } };
         model.run(seconds(1));
         for (std::size_t i = 0; i < size; ++i) {
             CAPTURE(i);
@@ -226,6 +226,24 @@
     }
 }
 
+TEST_CASE("a runner that says to one daemon that it leaves is known to every daemon of any fleet within a second")
+{
+    for (const std::size_t size : { 7u, 60u }) {
+        FleetModel model(size, 12, smallGroups());
+        model.run(settleTime);
+        const auto teller = size == 7 ? 0 : findReporter(model);
+        model.daemons()[teller].state.statements = { { runner, {}, milliseconds(100), true, true } };
+        model.run(seconds(1));
+        for (std::size_t i = 0; i < size; ++i) {
+            CAPTURE(i);
+            const auto& received = model.daemons()[i].receivedLimits;
+            CHECK((i == teller || !received.empty()));
+            CHECK(std::all_of(received.begin(), received.end(),
+                [](const auto& statement) { return statement.runner == runner && statement.isLeaving; }));
+        }
+    }
+}
+
 TEST_CASE("a proof that passes through aggregators is never newer than the original, however messages are delayed")
 {
     FleetModel model(60, 9, smallGroups());
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -175,14 +175,14 @@
 TEST_CASE("limits of runners are decoded as they were encoded, and a daemon of an earlier release sends none")
 {
     auto original = digest("10.0.0.2", 5, 1);
-    original.limits = { { 7, 3.4, milliseconds(250) }, { 8, {}, milliseconds(40) } };
+    original.statements = { { 7, 3.4, milliseconds(250) }, { 8, {}, milliseconds(40) } };
     auto message = nlohmann::json::from_cbor(fleet::encode(original));
     const auto limitsOf = [&message] {
         std::string bytes;
         nlohmann::json::to_cbor(message, bytes);
         const auto decoded = fleet::decode(bytes);
         REQUIRE(decoded);
-        return std::get<Digest>(*decoded).limits;
+        return std::get<Digest>(*decoded).statements;
     };
     const auto limits = limitsOf();
     REQUIRE(limits.size() == 2);
@@ -196,6 +196,29 @@
     CHECK(limitsOf().empty());
 }
 
+TEST_CASE("leaving runners are decoded as they were encoded, and a daemon of an earlier release sees only the limits")
+{
+    auto original = digest("10.0.0.2", 5, 1);
+    original.statements = { { 7, 3.4, milliseconds(250) }, { 8, {}, milliseconds(40), true, true } };
+    auto message = nlohmann::json::from_cbor(fleet::encode(original));
+    const auto statementsOf = [&message] {
+        std::string bytes;
+        nlohmann::json::to_cbor(message, bytes);
+        const auto decoded = fleet::decode(bytes);
+        REQUIRE(decoded);
+        return std::get<Digest>(*decoded).statements;
+    };
+    const auto statements = statementsOf();
+    REQUIRE(statements.size() == 2);
+    CHECK_FALSE(statements[0].isLeaving);
+    CHECK(statements[1].isLeaving);
+    CHECK(statements[1].runner == 8);
+    CHECK(statements[1].age == milliseconds(40));
+    CHECK(message.at(1).at(11).size() == 1);
+    message.at(1).erase(12);
+    CHECK(statementsOf().size() == 1);
+}
+
 TEST_CASE("crashes before an answer are not told to other daemons")
 {
     const std::vector<dispatch::CrashSuspect> request { { 8 } };
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -124,6 +124,19 @@
     CHECK_FALSE(metadata.load);
 }
 
+TEST_CASE("a response that says that its runner leaves is recognized, and no other value of the header")
+{
+    http::MessageHead head;
+    head.status = 200;
+    CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).isLeaving);
+    head.headers = { { "server-leaving", "1" } };
+    CHECK(platform::HeaderCodec().decodeResponse(head).isLeaving);
+    for (const char* text : { "", "0", "false", "11", "1x" }) {
+        head.headers = { { "Server-Leaving", text } };
+        CHECK_FALSE(platform::HeaderCodec().decodeResponse(head).isLeaving);
+    }
+}
+
 TEST_CASE("the request rate that a runner accepts is decoded; anything but a number is no limit")
 {
     http::MessageHead head;
--- a/tests/proxy/RunnerLimitTest.cpp
+++ b/tests/proxy/RunnerLimitTest.cpp
@@ -32,7 +32,8 @@
     /// Lets another daemon tell that a runner states a limit.
     void stateLimit(const std::string& id, double perSecond)
     {
-        fixture.router.mergeLimits(std::vector<fleet::RunnerLimit> { { keyOf(id), perSecond, Duration::zero() } });
+        fixture.router.mergeStatements(
+            std::vector<fleet::RunnerStatement> { { keyOf(id), perSecond, Duration::zero() } });
     }
 
     static bool answer(const tests::Listener& runner, const std::string& id, const std::string& limit)
@@ -100,17 +101,17 @@
     LimitedService service;
     auto& router = service.fixture.router;
     const auto limitOfFirst = [&router] {
-        const auto limits = router.runnerReport(daemon::currentTime()).limits;
+        const auto limits = router.runnerReport(daemon::currentTime()).statements;
         return limits.empty() ? std::nullopt : limits.front().perSecond;
     };
     const auto key = service.keyOf("r-1");
-    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key + 1, 1.0, Duration::zero() } });
-    CHECK(router.runnerReport(daemon::currentTime()).limits.empty());
-    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, 2.0, std::chrono::milliseconds(500) } });
+    router.mergeStatements(std::vector<fleet::RunnerStatement> { { key + 1, 1.0, Duration::zero() } });
+    CHECK(router.runnerReport(daemon::currentTime()).statements.empty());
+    router.mergeStatements(std::vector<fleet::RunnerStatement> { { key, 2.0, std::chrono::milliseconds(500) } });
     CHECK(limitOfFirst() == 2.0);
-    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, {}, std::chrono::milliseconds(900) } });
+    router.mergeStatements(std::vector<fleet::RunnerStatement> { { key, {}, std::chrono::milliseconds(900) } });
     CHECK(limitOfFirst() == 2.0);
-    router.mergeLimits(std::vector<fleet::RunnerLimit> { { key, {}, std::chrono::milliseconds(100) } });
+    router.mergeStatements(std::vector<fleet::RunnerStatement> { { key, {}, std::chrono::milliseconds(100) } });
     CHECK_FALSE(limitOfFirst());
-    CHECK_FALSE(router.runnerReport(daemon::currentTime()).limits.front().isOwn);
+    CHECK_FALSE(router.runnerReport(daemon::currentTime()).statements.front().isOwn);
 }
--- a/tests/runners/AvailabilityTest.cpp
+++ b/tests/runners/AvailabilityTest.cpp
@@ -76,6 +76,7 @@
 
 TEST_CASE("every exclusion has a name of its own")
 {
+    CHECK(nameOf(Exclusion::StatedLeaving) == "stated-leaving");
     CHECK(nameOf(Exclusion::ListedLeaving) == "leaving");
     CHECK(nameOf(Exclusion::RateLimited) == "rate-limited");
     CHECK(nameOf(Exclusion::Suspended) == "suspended");
