Send nothing to a runner during the pause that it asks for

Nobody read the header, and a refused request's successors went to the runner at once.

The pause is decoded, with fractions and dates; the one that ends last holds. Daemons return spread over a quarter of it, a second at most, with one request first. Requests that wait for a connection to the runner are recalled, and those that meet only paused runners wait a little or are refused at once with the time to come back. Pauses count as no failures.

--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -72,6 +72,10 @@
     std::optional<double> rateLimit;
     /// The runner has begun to leave.
     bool isLeaving = false;
+    /// Time for which the runner that refused the request wants no others from this daemon; empty if it states none.
+    std::optional<Duration> pause;
+    /// The runner stated such a time that cannot be used as it is: it is ignored, or limited to the longest one.
+    bool hasUnusablePause = false;
 };
 
 /// @brief Reason why a request cannot be decoded.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -256,8 +256,21 @@
         { { "runner", runner.entry.id }, { "request", request },
             { "age_ms", toMilliseconds(now - runner.statedLeavingAt.value_or(now)) },
             { "listed", runner.entry.isLeaving }, { "requests", runner.ownLoad } });
-    for (const auto& session : requestsAt(runner.entry.id))
-        session->recall("the runner leaves");
+    recallRequests(runner.entry.id, "the runner leaves");
+}
+
+void Router::onRunnerPaused(const runners::Runner& runner, std::string_view request, TimePoint now)
+{
+    telemetry::logInfo("runner-paused",
+        { { "runner", runner.entry.id }, { "request", request }, { "for_ms", toMilliseconds(runner.pausedUntil - now) },
+            { "returns_after_ms", toMilliseconds(runner.returnsAt - now) }, { "requests", runner.ownLoad } });
+    recallRequests(runner.entry.id, "the runner asks for a pause");
+}
+
+void Router::recallRequests(std::string_view runner, std::string_view reason)
+{
+    for (const auto& session : requestsAt(runner))
+        session->recall(reason);
 }
 
 void Router::logLimit(const runners::Runner& runner, std::optional<double> before, std::string_view request) const
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -131,6 +131,11 @@
     /// Logs that a runner states that it leaves, and sends the requests elsewhere that wait for a connection to it.
     /// @param request attempt id of the request whose response said so; empty if another daemon told of it
     void onRunnerLeaving(const runners::Runner& runner, std::string_view request, TimePoint now);
+    /// Logs that a runner asks for a pause, and sends the requests elsewhere that wait for a connection to it.
+    /// @param request attempt id of the request that it refused
+    void onRunnerPaused(const runners::Runner& runner, std::string_view request, TimePoint now);
+    /// Sends the requests elsewhere that wait for a connection to a runner.
+    void recallRequests(std::string_view runner, std::string_view reason);
     /// Requests whose current attempt is at a runner.
     std::vector<std::shared_ptr<Session>> requestsAt(std::string_view runner) const;
     /// Whether a probe that began at @a begunAt shows that its runner cannot be reached.
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -16,8 +16,8 @@
     /// Tokens of a cached prefix from which fetching it from another runner costs less than recomputing it.
     constexpr std::uint32_t minTokensToFetch = 1024;
 
-    /// Largest part of the latency objective for which a request waits until the rate limit of a runner allows it.
-    constexpr double maxRateWaitShare = 0.125;
+    /// Largest part of the latency objective for which a request waits until a runner may take it.
+    constexpr double maxWaitShare = 0.125;
 
     /// Events from which the runner is known to be able to answer a prompt. A runner that crashes on a part of a prompt
     /// does so as it begins to answer.
@@ -119,24 +119,26 @@
 
 void Session::onNoRunner(TimePoint now)
 {
-    if (tryWaitForRate(now))
+    if (tryWaitForRunner(now))
         return;
     if (m_hasResponseStarted)
         execute(RelayStep::Abort, "no runner is left");
     else if (m_plan.mayHaveRun())
         execute(RelayStep::FailUnknown, "no runner is left");
+    else if (m_placement.awaited == runners::Exclusion::Paused)
+        execute(RelayStep::RefuseNotRun, "all runners ask for a pause");
     else if (m_placement.availableAt)
         execute(RelayStep::RefuseNotRun, "the rate limits of all runners are used up");
     else
         execute(RelayStep::RefuseNotRun, "no runner is usable");
 }
 
-bool Session::tryWaitForRate(TimePoint now)
+bool Session::tryWaitForRunner(TimePoint now)
 {
     if (!m_placement.availableAt)
         return false;
     if (!m_lastTryAt)
-        m_lastTryAt = now + fromSeconds(toSeconds(m_admitted.route->latencyObjective) * maxRateWaitShare);
+        m_lastTryAt = now + fromSeconds(toSeconds(m_admitted.route->latencyObjective) * maxWaitShare);
     if (*m_placement.availableAt > *m_lastTryAt || now >= *m_lastTryAt)
         return false;
     m_nextTryAt = m_placement.availableAt;
@@ -211,7 +213,14 @@
     const auto now = m_router.now();
     if (m_router.m_registry.recordLimit(runner, m_attempt->metadata.rateLimit, m_attempt->sentAt, now))
         m_router.logLimit(runner, before, m_admitted.metadata.attemptId);
-    if (m_attempt->metadata.isLeaving && m_router.m_registry.recordLeaving(runner, now))
+    const auto& metadata = m_attempt->metadata;
+    if (metadata.hasUnusablePause && !std::exchange(runner.isUnusablePauseLogged, true))
+        telemetry::logWarning("runner-pause-unusable",
+            { { "runner", runner.entry.id }, { "request", m_admitted.metadata.attemptId },
+                { "used_ms", metadata.pause ? toMilliseconds(*metadata.pause) : 0.0 } });
+    if (metadata.pause && m_router.m_registry.recordPause(runner, *metadata.pause, now))
+        m_router.onRunnerPaused(runner, m_admitted.metadata.attemptId, now);
+    if (metadata.isLeaving && m_router.m_registry.recordLeaving(runner, now))
         m_router.onRunnerLeaving(runner, m_admitted.metadata.attemptId, now);
 }
 
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -77,16 +77,16 @@
     void send();
     /// Decides what follows when no runner can take the request now.
     void onNoRunner(TimePoint now);
-    /// Waits for this daemon's share of the rate limits of runners, if it allows the request soon.
-    bool tryWaitForRate(TimePoint now);
+    /// Waits for the runner that may take the request first, if that is soon.
+    bool tryWaitForRunner(TimePoint now);
     /// The request as HTTP/1.1 bytes for a runner.
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
     /// Whether the body of a response is relayed event by event.
     bool isStream(const http::MessageHead& head, const ResponseMetadata& metadata) const;
     void startResponse();
-    /// Records what the response of the current attempt says of its runner: a limit of its request rate, that it
-    /// leaves.
+    /// Records what the response of the current attempt says of its runner: a limit of its request rate, that it asks
+    /// for a pause, that it leaves.
     void recordStatements(runners::Runner& runner) const;
     void onBytes(std::string_view bytes);
     /// Gives up the current attempt because of what its runner sent.
@@ -117,8 +117,8 @@
     void onCallerDisconnected();
     /// Answers that the request was not run and never will be, so that the caller may repeat it.
     void answerNotRun(std::string_view detail);
-    /// Time after which a caller may come back whose request exceeds the rate limits of all runners.
-    Duration retryAfterRateLimit(TimePoint now) const;
+    /// Time after which a caller may come back whose request no runner can take before a known time.
+    Duration retryAfterAvailable(TimePoint now) const;
     /// Answers that the request may have been run.
     void answerOutcomeUnknown(std::uint16_t status, std::string_view detail);
     /// Records the outcome in metrics and log; further calls have no effect.
@@ -140,7 +140,7 @@
     std::vector<std::string> m_excludedRunners;
     runners::Placement m_placement;
     std::string m_lastRunner;
-    /// Set while the request waits until the rate limit of a runner allows it: time of the next try, and of the last.
+    /// Set while the request waits until a runner may take it: time of the next try, and of the last.
     std::optional<TimePoint> m_nextTryAt;
     std::optional<TimePoint> m_lastTryAt;
     /// Id of the last event that the caller has; 0 without one.
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -18,15 +18,18 @@
 void Session::answerNotRun(std::string_view detail)
 {
     Router::Refusal refusal { status::unavailable, "no-runner", m_router.withJitter(retryAfterNoRunner) };
-    if (m_placement.availableAt)
-        refusal = { status::unavailable, "rate-limited", retryAfterRateLimit(m_router.now()) };
+    if (m_placement.availableAt) {
+        const bool isPaused = m_placement.awaited == runners::Exclusion::Paused;
+        refusal = { status::unavailable, isPaused ? "runners-paused" : "rate-limited",
+            retryAfterAvailable(m_router.now()) };
+    }
     m_router.refuse(*m_responder, m_admitted.metadata, refusal);
     finish("not-run", status::unavailable, detail);
 }
 
-Duration Session::retryAfterRateLimit(TimePoint now) const
+Duration Session::retryAfterAvailable(TimePoint now) const
 {
-    // Callers whose requests exceed the limits come back at different times, as long as an answer can still be in time.
+    // Callers that no runner can take now come back at different times, as long as an answer can still be in time.
     const auto earliest = std::max<Duration>(*m_placement.availableAt - now, Duration::zero());
     const auto latest = fromSeconds(toSeconds(m_admitted.deadline - now) * retryShareOfTimeLeft);
     return earliest + fromSeconds(toSeconds(std::max(latest - earliest, Duration::zero())) * m_router.unitDraw());
--- a/src/runners/Availability.cpp
+++ b/src/runners/Availability.cpp
@@ -22,6 +22,13 @@
         return Availability { {}, {}, runner.listedLeavingSince };
     }
 
+    std::optional<Availability> findPaused(const Runner& runner, const AvailabilityOptions&, TimePoint now)
+    {
+        if (now >= runner.returnsAt)
+            return std::nullopt;
+        return Availability { {}, runner.returnsAt, runner.pausedAt };
+    }
+
     std::optional<Availability> findRateLimited(const Runner& runner, const AvailabilityOptions&, TimePoint now)
     {
         if (!runner.rateShare || runner.rateShare->isAvailable(now))
@@ -67,6 +74,7 @@
     constexpr std::array rules = {
         Rule { Exclusion::StatedLeaving, "stated-leaving", true, findStatedLeaving },
         Rule { Exclusion::ListedLeaving, "leaving", true, findListedLeaving },
+        Rule { Exclusion::Paused, "paused", true, findPaused },
         Rule { Exclusion::RateLimited, "rate-limited", true, findRateLimited },
         Rule { Exclusion::Suspended, "suspended", false, findSuspended },
         Rule { Exclusion::OnProbation, "probation", false, findOnProbation },
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -80,7 +80,7 @@
 
     /// Finds the runner that probably has the shared prefix cached: the first in its order that is neither the chosen
     /// one nor recently added. Runners that are listed as leaving count, as they still serve for a while and keep their
-    /// cache, but not those that state themselves that they leave.
+    /// cache, but not those that state themselves that they leave, or ask for a pause.
     void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
     {
         BestCandidate first;
@@ -88,7 +88,7 @@
         for (auto* runner : registry.runnersOf(request.service)) {
             first.consider(runner, -rendezvousScore(*runner, request), 0);
             if (runner == result.runner || now < runner->suspendedUntil || runner->statedLeavingAt
-                || registry.isRecentlyAdded(*runner, now))
+                || now < runner->returnsAt || registry.isRecentlyAdded(*runner, now))
                 continue;
             source.consider(runner, -rendezvousScore(*runner, request), 0);
         }
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -104,6 +104,8 @@
 {
     if (runner.ownLoad++ == 0)
         runner.lastActivityAt = now;
+    if (std::exchange(runner.isReturning, false))
+        runner.returnsAt = now + m_options.returnInterval;
     if (!runner.rateShare)
         return;
     ++runner.sentWhileLimited;
@@ -218,6 +220,22 @@
     return replaceLimit(runner, limit, now);
 }
 
+bool Registry::recordPause(Runner& runner, Duration length, TimePoint now)
+{
+    const auto end = now + length;
+    runner.pausedAt = now;
+    if (length <= Duration::zero() || end <= runner.pausedUntil)
+        return false;
+    const bool isNews = now >= runner.pausedUntil;
+    runner.pausedUntil = end;
+    // The daemons return one after another, so that the runner does not get all their requests at once.
+    const auto span = std::min(fromSeconds(toSeconds(length) * m_options.returnShare), m_options.longestReturn);
+    const auto part = toUnitInterval(mix64(m_fleet.self, runner.identity));
+    runner.returnsAt = end + fromSeconds(toSeconds(span) * part);
+    runner.isReturning = true;
+    return isNews;
+}
+
 bool Registry::recordLeaving(Runner& runner, TimePoint now)
 {
     runner.isLeavingOwn = true;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -43,6 +43,12 @@
     /// Time for which a runner that left the listing is remembered to have stated that it leaves. Runners go on serving
     /// for seconds after that, and an older copy of the listing may show them as ready.
     Duration leavingMemory = std::chrono::minutes(10);
+    /// Time over which the daemons return to a runner after a pause that it asked for, and the largest share of the
+    /// pause for it.
+    Duration longestReturn = std::chrono::seconds(1);
+    double returnShare = 0.25;
+    /// Time between the first request after a pause and the next ones, in which the runner may refuse again.
+    Duration returnInterval = std::chrono::milliseconds(250);
     /// Age beyond which a reported load is ignored.
     Duration reportLifetime = std::chrono::milliseconds(1000);
 };
@@ -102,6 +108,10 @@
     /// @brief Takes what another daemon knows of the limit of a runner, if it is newer.
     /// @return whether the limit began, ended or changed noticeably
     bool mergeLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
+    /// @brief Records that a runner refused a request and asked for a pause. Of several pauses the one that ends last
+    /// holds: each of them was asked for.
+    /// @return whether this is news
+    bool recordPause(Runner& runner, Duration length, TimePoint now);
     /// @brief Records that a response of a runner states that it leaves.
     /// @return whether this is news
     bool recordLeaving(Runner& runner, TimePoint now);
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -110,6 +110,16 @@
     /// Time at which the platform's listing first contained it.
     TimePoint listedSince {};
 
+    /// End of the pause that it asked for, when it refused requests, and time of the response that did so last.
+    TimePoint pausedUntil {};
+    std::optional<TimePoint> pausedAt;
+    /// Time from which this daemon sends to it again after the pause.
+    TimePoint returnsAt {};
+    /// No request was sent to it since the pause.
+    bool isReturning = false;
+    /// An unusable time that it asked for was logged.
+    bool isUnusablePauseLogged = false;
+
     /// @brief Whether it is about to stop, as the platform lists or as it stated itself.
     bool isLeaving() const { return entry.isLeaving || statedLeavingAt; }
     /// @brief Requests in flight from all daemons, as the daemons count them.
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -137,6 +137,35 @@
     }
 }
 
+TEST_CASE("the pause that a refusal asks for is a number of seconds or a date, and others are marked as unusable")
+{
+    const auto decode = [](const std::string& retryAfter, const std::string& date, std::uint16_t status) {
+        http::MessageHead head;
+        head.status = status;
+        head.headers = { { "Retry-After", retryAfter } };
+        if (!date.empty())
+            head.headers.emplace_back("Date", date);
+        return platform::HeaderCodec().decodeResponse(head);
+    };
+    using std::chrono::milliseconds;
+    CHECK(decode("2", "", 503).pause == milliseconds(2000));
+    CHECK(decode("0.25", "", 503).pause == milliseconds(250));
+    CHECK(decode("0", "", 503).pause == milliseconds(0));
+    CHECK_FALSE(decode("0", "", 503).hasUnusablePause);
+    CHECK(decode("Sun, 06 Nov 1994 08:49:40 GMT", "Sun, 06 Nov 1994 08:49:37 GMT", 503).pause == milliseconds(3000));
+    CHECK(decode("Sun, 06 Nov 1994 08:49:37 GMT", "Sun, 06 Nov 1994 08:49:40 GMT", 503).pause == milliseconds(0));
+    CHECK(decode("1e12", "", 503).pause == std::chrono::hours(1));
+    CHECK(decode("1e12", "", 503).hasUnusablePause);
+    for (const std::string text :
+        { "", "-1", "nan", "inf", "-inf", "1e999", "2 s", "soon", "Sun, 06 Nov 1994 08:49:40 GMT", "Sun, 06" }) {
+        CAPTURE(text);
+        CHECK_FALSE(decode(text, "", 503).pause);
+        CHECK(decode(text, "", 503).hasUnusablePause);
+    }
+    CHECK_FALSE(decode("2", "", 429).pause);
+    CHECK_FALSE(decode("x", "", 200).hasUnusablePause);
+}
+
 TEST_CASE("the request rate that a runner accepts is decoded; anything but a number is no limit")
 {
     http::MessageHead head;
