Play leaving and pausing runners in the relay test

The stand-in of a runner says that it leaves, by command or for 3 s after SIGTERM, and refuses with a pause by command; it counts its refusals.

--- a/standins/PlatformRunner.cpp
+++ b/standins/PlatformRunner.cpp
@@ -34,15 +34,22 @@
                 responder->respond({ 200, {}, "fault " + m_fault + "\n" });
                 return;
             }
+            if (path == "/refusals") {
+                responder->respond({ 200, {}, std::to_string(m_refusals) + "\n" });
+                return;
+            }
             const std::string id(request.header("X-Attempt-Id").value_or(""));
             if (request.header("X-Expect-Instance").value_or("") != m_options.name)
                 responder->respond({ 421, { { "X-Attempt-Id", id }, { "X-Instance-Id", m_options.name } }, "" });
-            else if (m_fault == "full")
-                responder->respond({ 503, { { "X-Attempt-Id", id }, { "X-Not-Executed", "1" } }, "" });
+            else if (m_fault == "full" || m_fault == "paused")
+                refuse(id, *responder);
             else
                 run(id, request, responder);
         }
 
+        /// Says in all responses that the runner leaves.
+        void leave() { m_fault = "leaving"; }
+
     private:
         struct Stream {
             std::shared_ptr<Responder> responder;
@@ -51,6 +58,15 @@
             bool isReaderGone = false;
         };
 
+        void refuse(const std::string& id, Responder& responder)
+        {
+            ++m_refusals;
+            gateway::Headers headers { { "X-Attempt-Id", id }, { "X-Not-Executed", "1" } };
+            if (m_fault == "paused")
+                headers.emplace_back("Retry-After", "3");
+            responder.respond({ 503, headers, "" });
+        }
+
         void run(const std::string& id, const HttpRequest& request, const std::shared_ptr<Responder>& responder)
         {
             ++m_runsByAttempt[id];
@@ -63,6 +79,8 @@
                 { "Eelgrassford-Runner", m_options.name }, { "X-Server-Load", "1,0,8" } };
             if (m_fault == "limited")
                 headers.emplace_back("Server-Limit", "1.0");
+            if (m_fault == "leaving")
+                headers.emplace_back("Server-Leaving", "1");
             if (request.path().find("/stream/") == std::string_view::npos) {
                 runAfter(m_options.runSeconds, [responder, headers, text = request.target + " " + request.body + "\n"] {
                     responder->respond({ 200, headers, text });
@@ -119,13 +137,26 @@
         PlatformRunnerOptions m_options;
         std::map<std::string, int> m_runsByAttempt;
         std::string m_fault;
+        int m_refusals = 0;
     };
 
+    /// Time for which a runner serves on after SIGTERM.
+    constexpr auto leavingTime = std::chrono::seconds(3);
+
 }
 
 void runPlatformRunner(asio::io_context& context, const PlatformRunnerOptions& options)
 {
     const auto runner = std::make_shared<PlatformRunner>(context, options);
+    asio::signal_set signals(context, SIGTERM);
+    asio::steady_timer end(context);
+    signals.async_wait([&](const asio::error_code& error, int) {
+        if (error)
+            return;
+        runner->leave();
+        end.expires_after(leavingTime);
+        end.async_wait([&context](const asio::error_code&) { context.stop(); });
+    });
     serve(context, options.ip, options.port,
         [runner](const HttpRequest& request, const std::shared_ptr<Responder>& responder) {
             runner->handle(request, responder);
--- a/tests/e2e/relay.test.sh
+++ b/tests/e2e/relay.test.sh
@@ -166,6 +166,34 @@
 for number in 1 2 3; do wait_until "daemon $number adopts" field_is "$number" .configuration_revision 8; done
 for number in 1 2 3; do check "daemon $number serves by it" answers "$number" /look/1 "e-2-$number"; done
 
+echo "== a runner that states that it leaves gets nothing new, though it is listed as ready"
+fault 2 leaving > /dev/null
+round=0
+knows_leaving() { round=$((round + 1)); ask 1 /look/1 "v-$round" > /dev/null; grep -q 'event=runner-leaving runner=runner-2' "$work/daemon-$1.log"; }
+for number in 1 2 3; do wait_until "daemon $number knows" knows_leaving "$number"; done
+list_runner 2 ready > /dev/null
+runs_of() { curl -sf "http://127.$base.2.$1:8000/runs" | jq length; }
+before=$(runs_of 2)
+for number in 1 2 3; do for i in 1 2 3 4; do check "daemon $number serves" answers "$number" /look/1 "w-$number-$i"; done; done
+check "nothing reaches it" equal "$(runs_of 2)" "$before"
+fault 2 none > /dev/null
+list_runner 2 ready 2 > /dev/null
+serves_again() { round=$((round + 1)); for number in 1 2 3; do ask "$number" /look/1 "x-$round-$number" > /dev/null; done; [ "$(runs_of 2)" -gt "$before" ]; }
+wait_until "its next lifetime gets requests" serves_again
+
+echo "== runners that ask for a pause get nothing until its end"
+for number in 2 3; do fault "$number" paused > /dev/null; done
+round=0
+is_paused() { round=$((round + 1)); refuses 1 /look/1 "y-$round" 503 && grep -q runners-paused "$work/body"; }
+wait_until "a daemon refuses by itself" is_paused
+check "with the time to come back" grep -qi '^Retry-After: [0-9]' "$work/headers"
+refusals() { for number in 2 3; do curl -sf "http://127.$base.2.$number:8000/refusals"; done | jq -s add; }
+before=$(refusals)
+for i in 1 2 3 4 5 6; do ask 1 /look/1 "z-$i" > /dev/null; done
+check "no request reaches them" equal "$(refusals)" "$before"
+for number in 2 3; do fault "$number" none > /dev/null; done
+for number in 1 2 3; do wait_until "daemon $number serves as before" answers "$number" /look/1 "zz-$number"; done
+
 echo "== runners that limit their request rate get no more, and as many as before when the limit ends"
 for number in 2 3; do fault "$number" limited > /dev/null; done
 round=0
