Soak: runners that leave and that ask for a pause

Two faults more: a runner says that it leaves until its next lifetime is listed, or refuses with a pause. The checks are the general ones; the two rules themselves are checked by the relay test and the unit tests.

--- a/tests/soak/Installation.cpp
+++ b/tests/soak/Installation.cpp
@@ -156,6 +156,13 @@
     return call(endpoint(Subnet::Store, 0, storePort), "PUT", "/item/servers/" + runnerName(runner), entry.dump());
 }
 
+void Installation::renewRunner(std::size_t runner)
+{
+    setRunnerFault(runner, "none");
+    ++m_incarnations[runner];
+    listRunner(runner, "ready");
+}
+
 bool Installation::saveStore() { return call(endpoint(Subnet::Store, 0, storePort), "GET", "/save"); }
 
 bool Installation::restoreStore(const std::vector<std::string>& keys)
--- a/tests/soak/Installation.h
+++ b/tests/soak/Installation.h
@@ -34,6 +34,8 @@
     /// @return whether the store accepted it
     bool publish(const std::vector<std::string>& keys);
     bool listRunner(std::size_t runner, std::string_view state);
+    /// @brief Ends the fault of a runner and lists its next lifetime as ready.
+    void renewRunner(std::size_t runner);
     /// @brief Copies the data of the store, for restoreStore().
     bool saveStore();
     /// @brief Lets the store come back from the copy, and writes again what was published since: the configuration
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -39,6 +39,8 @@
         ActionName { Action::SilenceFromRunner, "silence-from-runner" },
         ActionName { Action::LimitRunner, "limit-runner" },
         ActionName { Action::RestoreStore, "restore-store" },
+        ActionName { Action::LeaveRunner, "leave-runner" },
+        ActionName { Action::PauseRunner, "pause-runner" },
     };
 
     constexpr std::size_t plannedActionCount = 5;
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -35,6 +35,8 @@
     SilenceFromRunner,
     LimitRunner,
     RestoreStore,
+    LeaveRunner,
+    PauseRunner,
 };
 
 std::string_view nameOf(Action action);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -204,6 +204,13 @@
     case Action::LimitRunner:
         setRunnerFault("limited");
         return;
+    case Action::LeaveRunner:
+        m_installation.setRunnerFault(runner, "leaving");
+        scheduleAfter(step.duration, [this, runner] { m_installation.renewRunner(runner); });
+        return;
+    case Action::PauseRunner:
+        setRunnerFault("paused");
+        return;
     case Action::RestoreStore:
         m_installation.saveStore();
         scheduleAfter(step.duration, [this] { m_installation.restoreStore(m_keys); });
