--- a/src/store/DeltaCodec.cpp
+++ b/src/store/DeltaCodec.cpp
@@ -49,6 +49,11 @@
         return { bytes.begin(), bytes.end() };
     }
 
+    Item toItem(const json& fields)
+    {
+        return { fields.at(0).get<std::string>(), toString(fields.at(1)), fields.at(2).get<std::uint64_t>() };
+    }
+
 }
 
 std::string encode(const Delta& delta)
@@ -60,8 +65,12 @@
     for (const auto& removal : delta.removals)
         removals.push_back({ removal.key, removal.revision,
             std::chrono::duration_cast<std::chrono::milliseconds>(removal.grace).count() });
+    auto doubted = json::array();
+    for (const auto& [item, remaining] : delta.doubted)
+        doubted.push_back({ item.key, toBinary(item.value), item.revision,
+            std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count() });
     std::string plain;
-    json::to_cbor(json { delta.since, delta.completeRevision, delta.isFull, items, removals }, plain);
+    json::to_cbor(json { delta.since, delta.completeRevision, delta.isFull, items, removals, doubted }, plain);
     std::string bytes;
     json::to_cbor(json { plain.size(), toBinary(compress(plain)) }, bytes);
     return bytes;
@@ -85,11 +94,16 @@
         delta.completeRevision = document.at(1).get<std::uint64_t>();
         delta.isFull = document.at(2).get<bool>();
         for (const auto& item : document.at(3))
-            delta.items.push_back(
-                { item.at(0).get<std::string>(), toString(item.at(1)), item.at(2).get<std::uint64_t>() });
+            delta.items.push_back(toItem(item));
         for (const auto& removal : document.at(4))
             delta.removals.push_back({ removal.at(0).get<std::string>(), removal.at(1).get<std::uint64_t>(),
                 std::chrono::milliseconds(removal.at(2).get<std::int64_t>()) });
+        // Daemons of earlier releases do not send them.
+        if (document.size() > 5) {
+            for (const auto& doubted : document.at(5))
+                delta.doubted.push_back(
+                    { toItem(doubted), std::chrono::milliseconds(doubted.at(3).get<std::int64_t>()) });
+        }
         return delta;
     } catch (const json::exception& error) {
         return tl::unexpected(ProtocolError { error.what() });
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -116,9 +116,23 @@
             continue;
         }
         m_items.erase(lapsed->first);
+        // Its owner would have written it again by now.
+        if (const auto removed = m_removals.find(lapsed->first); removed != m_removals.end())
+            removed->second.mayHaveLapsed = false;
         lapsed = m_lapsed.erase(lapsed);
         hasChanged = true;
     }
+    for (auto doubted = m_doubted.begin(); doubted != m_doubted.end();) {
+        if (now < doubted->second.takenAt) {
+            ++doubted;
+            continue;
+        }
+        m_removals.erase(doubted->first);
+        m_lapsed.erase(doubted->first);
+        m_items[doubted->first] = std::move(doubted->second.item);
+        doubted = m_doubted.erase(doubted);
+        hasChanged = true;
+    }
     return hasChanged;
 }
 
@@ -167,8 +181,9 @@
     }
     for (const auto& key : missing)
         hasChanged = removeItem(key, m_listRevision, m_graceUntil, now) || hasChanged;
+    std::erase_if(m_doubted, [this](const auto& doubted) { return !m_listedItems.contains(doubted.first); });
     for (const auto& [key, item] : m_listedItems)
-        hasChanged = storeItem(item) || hasChanged;
+        hasChanged = storeItem(item, now) || hasChanged;
     m_revision = m_listRevision;
     m_listedItems.clear();
     m_lastListedKey.clear();
@@ -198,7 +213,7 @@
     for (auto& change : changes->changes) {
         auto& item = change.item;
         item.revision = toRevision(era, item.revision);
-        hasChanged = (change.isRemoved ? removeItem(item.key, item.revision, m_graceUntil, now) : storeItem(item))
+        hasChanged = (change.isRemoved ? removeItem(item.key, item.revision, m_graceUntil, now) : storeItem(item, now))
             || hasChanged;
     }
     m_revision = std::max(m_revision, toRevision(era, changes->storeRevision));
@@ -211,21 +226,24 @@
     return hasChanged;
 }
 
-bool Mirror::storeItem(const Item& item)
+bool Mirror::storeItem(const Item& item, TimePoint now)
 {
     const auto removed = m_removals.find(item.key);
     if (removed != m_removals.end()) {
         // A delta of another daemon may hold a state from before the removal.
         if (item.revision <= removed->second.revision)
             return false;
-        if (compareAcrossEras(item, removed->second.revision, removed->second.value) <= 0) {
+        const auto order = compareAcrossEras(item, removed->second.revision, removed->second.value);
+        if (order < 0 || (order == 0 && !removed->second.mayHaveLapsed)) {
             removed->second.revision = item.revision;
             m_changeRevision = std::max(m_changeRevision, item.revision);
+            doubt(item, now + m_options.confirmationTime);
             return false;
         }
         m_removals.erase(removed);
     }
     m_lapsed.erase(item.key);
+    m_doubted.erase(item.key);
     m_changeRevision = std::max(m_changeRevision, item.revision);
     auto& kept = m_items[item.key];
     // Repeated and older states of an item are ignored.
@@ -239,6 +257,16 @@
     return true;
 }
 
+void Mirror::doubt(const Item& item, TimePoint takenAt)
+{
+    auto& doubted = m_doubted[item.key];
+    if (item.revision <= doubted.item.revision)
+        return;
+    // A further copy that lists the item confirms the one before.
+    const bool isFirst = doubted.item.revision == 0;
+    doubted = { item, isFirst ? takenAt : std::min(takenAt, doubted.takenAt) };
+}
+
 std::partial_ordering Mirror::compareAcrossEras(const Item& item, Revision known, std::string_view knownValue) const
 {
     if (!m_order || known == 0 || isSameEra(item.revision, known))
@@ -252,8 +280,12 @@
     if (found != m_items.end() && found->second.revision > revision)
         return false;
     m_changeRevision = std::max(m_changeRevision, revision);
+    const auto doubted = m_doubted.find(key);
+    if (doubted != m_doubted.end() && doubted->second.item.revision < revision)
+        m_doubted.erase(doubted);
     auto& removed = m_removals[key];
     removed.revision = revision;
+    removed.mayHaveLapsed = now < keptUntil;
     if (found != m_items.end())
         removed.value = found->second.value;
     if (m_removals.size() > m_options.maxRemovals) {
@@ -289,6 +321,8 @@
             = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
         delta.removals.push_back({ key, removed.revision, grace });
     }
+    for (const auto& [key, doubted] : m_doubted)
+        delta.doubted.push_back({ doubted.item, std::max(doubted.takenAt - now, Duration::zero()) });
     return delta;
 }
 
@@ -319,9 +353,14 @@
             hasChanged = removeItem(key, delta.completeRevision, isLaterEra ? m_graceUntil : now, now) || hasChanged;
     }
     for (const auto& item : delta.items)
-        hasChanged = storeItem(item) || hasChanged;
+        hasChanged = storeItem(item, now) || hasChanged;
     for (const auto& removal : delta.removals)
         hasChanged = removeItem(removal.key, removal.revision, now + removal.grace, now) || hasChanged;
+    for (const auto& [item, remaining] : delta.doubted) {
+        const auto known = m_items.find(item.key);
+        if (known == m_items.end() || known->second.revision < item.revision)
+            doubt(item, now + remaining);
+    }
     m_revision = std::max(m_revision, delta.completeRevision);
     if (isLaterEra)
         m_era = eraOf(m_revision);
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -37,6 +37,14 @@
     std::vector<Removal> removals;
     /// Whether the items are all items of the sender, rather than the changed ones.
     bool isFull = false;
+    /// @brief A listed item that is taken only if it stays listed.
+    struct Doubted {
+        Item item;
+        /// Time until it is taken.
+        Duration remaining {};
+    };
+    /// All such items of the sender.
+    std::vector<Doubted> doubted {};
 };
 
 /// @brief Mirrors the items of the store, and tracks how fresh the mirror is. No I/O.
@@ -77,6 +85,9 @@
         /// Grace period after an outage, in which live owners write their items again; the platform states about two
         /// seconds.
         Duration lapseGrace = std::chrono::milliseconds(2500);
+        /// Time after which an item is taken that a restored copy lists although it was known to have been removed: the
+        /// lease of an owner that has left runs out in less, three heartbeats of 1.2 s.
+        Duration confirmationTime = std::chrono::milliseconds(5000);
     };
     /// Returns uniform numbers in [0, 1), for the jitter of retry delays.
     using RandomSource = std::function<double()>;
@@ -120,7 +131,7 @@
     /// @brief Applies a delta of another daemon. Ignores an incremental one that starts after completeRevision().
     /// @return whether any item changed
     bool merge(const Delta& delta, TimePoint now);
-    /// @brief Drops items whose grace period is over.
+    /// @brief Drops items whose grace period is over, and takes doubted ones that have stayed listed.
     /// @return whether any item changed
     bool dropExpired(TimePoint now);
 
@@ -141,6 +152,14 @@
     struct Removed {
         Revision revision = 0;
         std::string value;
+        /// The item is missing after an outage, in which the lease of a live owner may have lapsed.
+        bool mayHaveLapsed = false;
+    };
+
+    /// An item that a restored copy lists although it was known to have been removed.
+    struct Doubted {
+        Item item;
+        TimePoint takenAt {};
     };
 
     /// Forgets an unfinished listing and lists the store anew, because it answers from another copy of its data.
@@ -149,7 +168,9 @@
     std::partial_ordering compareAcrossEras(const Item& item, Revision known, std::string_view knownValue) const;
     bool onPage(std::string_view body, TimePoint now);
     bool onChanges(std::string_view body, TimePoint now);
-    bool storeItem(const Item& item);
+    bool storeItem(const Item& item, TimePoint now);
+    /// Takes a doubted item unless it is removed, or known anyway, by @a takenAt.
+    void doubt(const Item& item, TimePoint takenAt);
     bool removeItem(const std::string& key, std::uint64_t revision, TimePoint keptUntil, TimePoint now);
     bool finishListing(TimePoint now);
     void extendGraceAfterOutage(TimePoint now);
@@ -163,6 +184,7 @@
     /// Keys of items that are missing after an outage, with the end of their grace periods.
     std::map<std::string, TimePoint> m_lapsed;
     std::map<std::string, Removed> m_removals;
+    std::map<std::string, Doubted> m_doubted;
     /// Removals up to this revision are forgotten; a delta since an older one is a full copy.
     std::uint64_t m_forgottenRevision = 0;
     std::uint64_t m_changeRevision = 0;
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -128,6 +128,15 @@
             mirror.dropExpired(now);
         }
     }
+    /// Lets the store be away for a time.
+    void fail(Duration time)
+    {
+        for (const auto end = now + time; now < end; now += milliseconds(20)) {
+            if (mirror.nextQuery(now))
+                mirror.handleFailure("away", now);
+            mirror.dropExpired(now);
+        }
+    }
     std::string valueOf(const std::string& key) const
     {
         const auto found = mirror.items().find(key);
@@ -263,3 +272,66 @@
     fixture.mirror.merge({ before, before, {}, {}, false }, fixture.now);
     CHECK(fixture.mirror.changesSince(before, fixture.now).isFull);
 }
+
+// Guards against services that are refused for good although their runners live and are listed.
+TEST_CASE("an entry that lapsed in an outage is taken from a restored copy that lists it again, in the same state")
+{
+    for (const auto timeBack : { milliseconds(100), milliseconds(1000), milliseconds(2300) }) {
+        CAPTURE(timeBack.count());
+        Fixture fixture;
+        auto follower = fixture.createMirror();
+        follower.setReading(false);
+        follower.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+        fixture.store.save();
+        fixture.fail(std::chrono::seconds(4));
+        fixture.store.remove("b");
+        fixture.run(timeBack);
+        follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+        fixture.store.restore();
+        for (int i = 0; i < 500; ++i) {
+            fixture.run(milliseconds(20));
+            follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+            follower.dropExpired(fixture.now);
+        }
+        CHECK(fixture.valueOf("b") == "1-b");
+        CHECK(follower.items().contains("b"));
+    }
+}
+
+TEST_CASE("an entry that was removed and that a restored copy lists for longer than a lease is taken again")
+{
+    Fixture fixture;
+    auto follower = fixture.createMirror();
+    follower.setReading(false);
+    fixture.store.remove("b");
+    fixture.run();
+    follower.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+    fixture.store.restore();
+    fixture.run(std::chrono::seconds(4));
+    follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+    CHECK(fixture.valueOf("b").empty());
+    CHECK_FALSE(follower.items().contains("b"));
+    SUBCASE("its owner lives")
+    {
+        fixture.run(std::chrono::seconds(3));
+        CHECK(fixture.valueOf("b") == "1-b");
+        CHECK(follower.dropExpired(fixture.now));
+        CHECK(follower.items().at("b").value == "1-b");
+    }
+    SUBCASE("its lease runs out, since its owner has left")
+    {
+        fixture.store.remove("b");
+        fixture.run(milliseconds(400));
+        follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+        fixture.run(std::chrono::seconds(10));
+        follower.dropExpired(fixture.now);
+        CHECK(fixture.valueOf("b").empty());
+        CHECK_FALSE(follower.items().contains("b"));
+    }
+    SUBCASE("its owner writes it again")
+    {
+        fixture.store.write("b", "2-b");
+        fixture.run(milliseconds(400));
+        CHECK(fixture.valueOf("b") == "2-b");
+    }
+}
