Answer pipelined requests in a loop, in bounded turns

What was seen in the review: 80 KB of pipelined malformed requests end a daemon, and all requests in flight with it.

Cause: a request that is refused at once ended within its handler, which parsed and dispatched the next one, so that requests that had been read while an earlier one was answered nested on the stack.

parse() is no longer entered from within itself: the request ends, and the loop takes the next one. After 16 of them other connections get their turn.

--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -17,6 +17,8 @@
     constexpr std::size_t writeBacklogLimit = 2u << 20;
     /// Bytes that are read from the socket at once.
     constexpr std::size_t readSize = 16384;
+    /// Pipelined requests of a connection that are handled before other connections get their turn.
+    constexpr int requestsPerTurn = 16;
     constexpr int listenBacklog = 1024;
     /// Time that a caller has to close its side after the last response.
     constexpr Duration lingerTime = std::chrono::seconds(1);
@@ -224,7 +226,19 @@
 
     void parse()
     {
+        // A request that is answered at once ends within its handler, and the loop goes on with the next one.
+        if (std::exchange(m_isParsing, true))
+            return;
+        const ScopeExit end([this] { m_isParsing = false; });
+        int requests = 0;
         while (!m_isClosed && !m_isDiscarding && !m_isAnswering && !m_input.empty()) {
+            if (requests == requestsPerTurn) {
+                asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+                    self->parse();
+                    self->read();
+                });
+                return;
+            }
             m_parser.setHeaderLimit(m_shared->limits.headerBytes);
             const auto used = m_parser.feed(m_input);
             if (!used) {
@@ -241,8 +255,10 @@
                     ProblemOutcome::NotRun, {} });
                 return;
             }
-            if (m_isRequestComplete)
+            if (m_isRequestComplete) {
                 dispatch();
+                ++requests;
+            }
         }
     }
 
@@ -388,6 +404,8 @@
     /// Start of the current wait: for headers, for more of a body, or for a request.
     TimePoint m_waitingSince;
     bool m_isReadPending = false;
+    /// Whether parse() runs.
+    bool m_isParsing = false;
     /// Whether the sending side is shut down and input is discarded until the caller closes.
     bool m_isDiscarding = false;
     bool m_isClosed = false;
--- a/tests/gateway/StreamServerTest.cpp
+++ b/tests/gateway/StreamServerTest.cpp
@@ -204,3 +204,53 @@
         CHECK_FALSE(isCalled);
     }
 }
+
+namespace {
+
+/// A server that answers each request at once.
+struct AnsweringServer {
+    asio::io_context context;
+    std::uint16_t port = tests::freePort(context);
+    std::size_t requests = 0;
+    gateway::HttpResponse response;
+    gateway::StreamServer server { context, "127.0.0.1", port, daemon::currentTime,
+        [this](const gateway::HttpRequest&, const std::shared_ptr<gateway::Responder>& responder) {
+            ++requests;
+            responder->respond(response);
+        } };
+
+    explicit AnsweringServer(gateway::HttpResponse each)
+        : response(std::move(each))
+    {
+        server.startAccepting();
+    }
+};
+
+std::size_t count(std::string_view text, std::string_view part)
+{
+    std::size_t result = 0;
+    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + part.size()))
+        ++result;
+    return result;
+}
+
+}
+
+// Guards against a stack that overflows under many requests that are answered at once.
+TEST_CASE("any number of pipelined requests is answered in bounded turns, beside those of other callers")
+{
+    AnsweringServer server({ 400, {}, "malformed\n" });
+    const auto caller = Peer::connect(server.context, server.port);
+    constexpr std::size_t total = 6000;
+    std::string requests;
+    for (std::size_t i = 0; i < total; ++i)
+        requests += "GET / HTTP/1.1\r\n\r\n";
+    caller->send(requests);
+    const auto other = Peer::connect(server.context, server.port);
+    other->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(server.context, [&] { return other->has("malformed"); });
+    CHECK(server.requests < total / 2);
+    runUntil(server.context, [&] { return server.requests == total + 1; });
+    runUntil(server.context, [&] { return count(caller->received, "malformed") == total; });
+    CHECK_FALSE(caller->isEnded);
+}
