Send no body in responses to HEAD requests

What was seen in the review: a HEAD request that is refused gets a body, and the next answer on the kept connection begins with it for the caller.

Cause: the server wrote the body of each response, whatever the request; responses with status 204 got a length and a body too. Both new cases fail on the code before. Complete and streamed responses, refusals and answers to malformed requests now end with their head for HEAD, and for statuses without content. The encoding of responses moves to a file of its own.

--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -2,6 +2,7 @@
 
 #include "common/ScopeExit.h"
 #include "gateway/Problem.h"
+#include "gateway/ResponseEncoding.h"
 #include "http/MessageParser.h"
 #include "telemetry/DecisionLog.h"
 #include <array>
@@ -9,6 +10,11 @@
 
 namespace eelgrassford::gateway {
 
+using detail::encodeChunkHeader;
+using detail::encodeHead;
+using detail::encodeWhole;
+using detail::isBodyless;
+
 namespace {
 
     /// Bytes of pipelined requests that are buffered while one is answered.
@@ -20,32 +26,12 @@
     /// Pipelined requests of a connection that are handled before other connections get their turn.
     constexpr int requestsPerTurn = 16;
     constexpr int listenBacklog = 1024;
+    constexpr std::string_view headMethod = "HEAD";
     /// Time that a caller has to close its side after the last response.
     constexpr Duration lingerTime = std::chrono::seconds(1);
     /// Delay after a failed accept(), for example when file descriptors are exhausted.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
-    std::string encodeChunkHeader(std::size_t size)
-    {
-        std::array<char, 24> text {};
-        const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", size);
-        return { text.data(), static_cast<std::size_t>(length) };
-    }
-
-    std::string encodeHead(std::uint16_t status, const Headers& headers, std::string_view framingHeader, bool isClosing)
-    {
-        std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
-        text += reasonPhrase(status);
-        text += "\r\n";
-        for (const auto& [name, value] : headers)
-            text.append(name).append(": ").append(value).append("\r\n");
-        text.append(framingHeader);
-        if (isClosing)
-            text += "Connection: close\r\n";
-        text += "\r\n";
-        return text;
-    }
-
 }
 
 struct StreamServer::Shared {
@@ -103,8 +89,10 @@
     /// Answers one request; a later request on the connection has a responder of its own.
     class RequestResponder : public Responder {
     public:
-        explicit RequestResponder(std::shared_ptr<Connection> connection)
+        /// @param isHead whether the request is a HEAD request, whose response has no body
+        RequestResponder(std::shared_ptr<Connection> connection, bool isHead)
             : m_connection(std::move(connection))
+            , m_isHead(isHead)
         {
         }
 
@@ -119,22 +107,22 @@
         {
             if (!m_connection)
                 return;
-            const auto length = "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-            m_connection->send(
-                encodeHead(response.status, response.headers, length, m_connection->isLast()) + response.body);
+            m_connection->send(encodeWhole(response, m_isHead, m_connection->isLast()));
             finish();
         }
 
         void begin(std::uint16_t status, const Headers& headers) override
         {
-            if (m_connection)
-                m_connection->send(
-                    encodeHead(status, headers, "Transfer-Encoding: chunked\r\n", m_connection->isLast()));
+            if (!m_connection)
+                return;
+            m_hasBody = !m_isHead && !isBodyless(status);
+            const auto* framing = isBodyless(status) ? "" : "Transfer-Encoding: chunked\r\n";
+            m_connection->send(encodeHead(status, headers, framing, m_connection->isLast()));
         }
 
         void write(std::string chunk) override
         {
-            if (m_connection && !chunk.empty())
+            if (m_connection && m_hasBody && !chunk.empty())
                 m_connection->send(encodeChunkHeader(chunk.size()) + chunk + "\r\n");
         }
 
@@ -142,7 +130,8 @@
         {
             if (!m_connection)
                 return;
-            m_connection->send("0\r\n\r\n");
+            if (m_hasBody)
+                m_connection->send("0\r\n\r\n");
             finish();
         }
 
@@ -168,6 +157,9 @@
         }
 
         std::shared_ptr<Connection> m_connection;
+        bool m_isHead;
+        /// Whether chunks follow the head of the streamed response.
+        bool m_hasBody = true;
     };
 
     /// Whether the connection closes after the current response; stays true once it is.
@@ -291,7 +283,8 @@
         m_hasHead = false;
         m_isAnswering = true;
         auto request = std::exchange(m_request, {});
-        m_shared->handler(std::move(request), std::make_shared<RequestResponder>(shared_from_this()));
+        const bool isHead = request.method == headMethod;
+        m_shared->handler(std::move(request), std::make_shared<RequestResponder>(shared_from_this(), isHead));
     }
 
     void finishRequest()
@@ -312,9 +305,7 @@
     void reject(const Problem& problem)
     {
         m_isLast = true;
-        const auto response = toResponse(problem);
-        const auto length = "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-        send(encodeHead(response.status, response.headers, length, true) + response.body);
+        send(encodeWhole(toResponse(problem), m_request.method == headMethod, true));
         closeAfterOutput();
     }
 
--- a/tests/gateway/StreamServerTest.cpp
+++ b/tests/gateway/StreamServerTest.cpp
@@ -236,6 +236,39 @@
 
 }
 
+// Guards against the body of a refusal that a caller takes for the beginning of its next answer.
+TEST_CASE("a response to a HEAD request, or with a status without content, has no body")
+{
+    for (const bool isHead : { true, false }) {
+        CAPTURE(isHead);
+        const std::uint16_t status = isHead ? 503 : 204;
+        AnsweringServer server({ status, {}, "no-runner\n" });
+        const auto caller = Peer::connect(server.context, server.port);
+        const std::string request = std::string(isHead ? "HEAD" : "GET") + " / HTTP/1.1\r\nHost: h\r\n\r\n";
+        caller->send(request + request);
+        runUntil(server.context, [&] { return count(caller->received, "\r\n\r\n") == 2; });
+        CHECK_FALSE(caller->has("no-runner"));
+        CHECK(caller->has("Content-Length: 10") == isHead);
+        CHECK_FALSE(caller->isEnded);
+    }
+}
+
+TEST_CASE("a streamed response to a HEAD request ends with its head")
+{
+    Fixture fixture;
+    const auto caller = Peer::connect(fixture.context, fixture.port);
+    caller->send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\nHEAD /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    fixture.responders[0]->begin(200, {});
+    fixture.responders[0]->write("part");
+    fixture.responders[0]->end();
+    fixture.awaitRequests(2);
+    fixture.responders[1]->respond({ 200, {}, "" });
+    runUntil(fixture.context, [&] { return count(caller->received, "HTTP/1.1 200") == 2; });
+    CHECK_FALSE(caller->has("part"));
+    CHECK_FALSE(caller->has("0\r\n\r\nHTTP"));
+}
+
 // Guards against a stack that overflows under many requests that are answered at once.
 TEST_CASE("any number of pipelined requests is answered in bounded turns, beside those of other callers")
 {
