Let the clock stand still in the test of a short wait for a limit

The shares are full when the limits fall, and the router's clock stands still from then on: two calls are served, the third is refused at once.

--- a/tests/proxy/RouterFixture.h
+++ b/tests/proxy/RouterFixture.h
@@ -64,6 +64,8 @@
     telemetry::Metrics metrics;
     /// Added to the time that the router sees, so that a test can let time pass.
     Duration clockOffset {};
+    /// Time at which the router's clock stands still, apart from the offset; empty while it runs.
+    std::optional<TimePoint> frozenAt;
     TimePoint confirmedAt = daemon::currentTime();
     proxy::Router router;
     std::uint16_t port = tests::freePort(context);
@@ -76,7 +78,8 @@
     std::shared_ptr<Peer> caller;
 
     explicit RouterFixture(const proxy::RouterOptions& routerOptions = options())
-        : router(context, routerOptions, codec, metrics, [this] { return daemon::currentTime() + clockOffset; })
+        : router(context, routerOptions, codec, metrics,
+            [this] { return frozenAt.value_or(daemon::currentTime()) + clockOffset; })
     {
         router.setRoutes(routeTable());
         router.setRunners(std::vector<runners::RunnerEntry> {
--- a/tests/proxy/RunnerLimitTest.cpp
+++ b/tests/proxy/RunnerLimitTest.cpp
@@ -86,10 +86,18 @@
     for (int i = 0; i < 4; ++i)
         service.call();
     CHECK(service.served == 4);
-    for (const auto& id : ids)
-        service.stateLimit(id, 0.0);
+    // Each runner's share holds one request when the limits fall, and the clock stands still from then on.
+    service.fixture.frozenAt = daemon::currentTime();
+    for (const double limit : { 50.0, 0.0 }) {
+        service.fixture.clockOffset += std::chrono::seconds(1);
+        for (const auto& id : ids)
+            service.stateLimit(id, limit);
+    }
+    service.call();
     service.call();
+    CHECK(service.served == 6);
     service.call();
+    CHECK(service.served == 6);
     CHECK(service.fixture.caller->received.starts_with("HTTP/1.1 503"));
     CHECK(service.fixture.caller->has("rate-limited"));
     CHECK(service.fixture.caller->has("Retry-After"));
