--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -359,7 +359,7 @@
 void Session::finishStream()
 {
     const auto now = m_router.now();
-    if (m_attempt->events.bufferedBytes() > 0) {
+    if (m_attempt->events.isInEvent()) {
         fail(AttemptFailure::Broken, Observation::Failed, "the stream ended within an event");
         return;
     }
--- a/src/upstream/EventStreamParser.h
+++ b/src/upstream/EventStreamParser.h
@@ -31,6 +31,8 @@
     void feed(std::string_view bytes);
     /// @brief Takes the next complete event, if there is one. Its views are valid until the next call to feed().
     std::optional<StreamEvent> next();
+    /// @brief Whether bytes of an incomplete event are left. Blank lines alone are none.
+    bool isInEvent() const { return m_buffer.find_first_not_of('\n', m_begin) != std::string::npos; }
     /// @brief Number of bytes that next() has not returned yet, such as those of an incomplete event.
     std::size_t bufferedBytes() const { return m_buffer.size() - m_begin; }
     /// @brief Whether the event that is incomplete after next() returned nothing is larger than any event may be.
--- a/tests/proxy/RouterTest.cpp
+++ b/tests/proxy/RouterTest.cpp
@@ -307,6 +307,17 @@
     fixture.awaitAnswer("booked");
 }
 
+TEST_CASE("blank lines after the last event of a stream are no broken event")
+{
+    for (const char* blank : { "\n", "\n\n", "\n\n\n" }) {
+        Fixture fixture;
+        fixture.call("POST", "/once/1");
+        fixture.awaitRequest(1).send(streamHead("s-1") + chunk(event(1)) + chunk(event(2) + blank) + "0\r\n\r\n");
+        fixture.awaitAnswer("0\r\n\r\n");
+        CHECK(fixture.caller->has("e2\n\n"));
+    }
+}
+
 // Guards against bookings that are accepted late in the grace period and cut off at its end.
 TEST_CASE("a stopping router refuses a request whose time limit is after the end of the stop")
 {
