Refuse headers whose name is no token

A space before the colon of a header was passed on as it came (seen in the review): a runner may read such a header otherwise than the daemon, which removes only the names that it knows. The parser lets spaces in names pass.

Names are checked when the headers are complete, in requests and responses. The new case fails on the code before; that of bare CR, folded lines and bad framing held there and states what stays.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -1,5 +1,6 @@
 #include "http/MessageParser.h"
 
+#include <algorithm>
 #include <http_parser.h>
 #include <limits>
 
@@ -11,6 +12,19 @@
     constexpr std::size_t defaultHeaderLimit = 65536;
     /// Result of on_headers_complete that tells http_parser that the message has no body.
     constexpr int skipBody = 1;
+    /// Result of on_headers_complete that ends parsing with an error.
+    constexpr int refuseMessage = -1;
+
+    /// Whether a text is a token (RFC 9110, 5.6.2). The parser lets spaces in names pass.
+    bool isToken(std::string_view text)
+    {
+        constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+        const auto isTokenCharacter = [&](char c) {
+            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+                || symbols.find(c) != std::string_view::npos;
+        };
+        return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+    }
 
 }
 
@@ -41,6 +55,8 @@
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
         if (m_isTooLarge)
             return tl::unexpected(ParseError { "start line and headers are too large", true });
+        if (m_isNameMalformed)
+            return tl::unexpected(ParseError { "a header's name is no token", false });
         if (m_parser.upgrade)
             return tl::unexpected(ParseError { "a change of protocol is not supported", false });
         if (error == HPE_PAUSED) {
@@ -134,6 +150,11 @@
 
     int headersComplete()
     {
+        if (!std::all_of(m_head.headers.begin(), m_head.headers.end(),
+                [](const auto& header) { return isToken(header.first); })) {
+            m_isNameMalformed = true;
+            return refuseMessage;
+        }
         m_hasHead = true;
         if (m_isRequest)
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
@@ -171,6 +192,7 @@
     bool m_hasHead = false;
     bool m_isInHeaderValue = false;
     bool m_isTooLarge = false;
+    bool m_isNameMalformed = false;
 };
 
 MessageParser::MessageParser(Kind kind, Events events)
--- a/tests/http/MessageParserTest.cpp
+++ b/tests/http/MessageParserTest.cpp
@@ -96,3 +96,37 @@
     CHECK_FALSE(parser.finish());
     CHECK(found.complete == 0);
 }
+
+// Guards against a runner that reads a header otherwise than this daemon does.
+TEST_CASE("a header whose name is no token, as with a space before the colon, is refused in requests and responses")
+{
+    for (const std::string line : { "X-Tenant : other", "X-Tenant\t: other", "X Tenant: other", ": other",
+             "X(Y): other", "X-T\xc3\xa9: other", "Content-Length : 3", "Transfer-Encoding : chunked" }) {
+        CAPTURE(line);
+        Collected found;
+        MessageParser request(MessageParser::Kind::Request, found.events());
+        CHECK_FALSE(request.feed("GET / HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\n"));
+        MessageParser response(MessageParser::Kind::Response, found.events());
+        CHECK_FALSE(response.feed("HTTP/1.1 200 OK\r\nX: y\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"));
+        CHECK(found.heads.empty());
+    }
+}
+
+TEST_CASE("bare CR and bad framing are refused, and folded lines are joined")
+{
+    Collected folded;
+    MessageParser folding(MessageParser::Kind::Request, folded.events());
+    REQUIRE(folding.feed("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\tc\r\nY: d\r\n\r\n"));
+    CHECK(folded.heads.at(0).header("X") == "a b\tc");
+    CHECK(folded.heads.at(0).header("Y") == "d");
+    for (const std::string rest : { "X: a\rb\r\n\r\n", "Content-Length: 3, 3\r\n\r\nabc",
+             "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "Content-Length: +3\r\n\r\nabc",
+             "Content-Length: 0x3\r\n\r\nabc", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             "Transfer-Encoding: chunked\r\n\r\nx\r\n", "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+             "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n" }) {
+        CAPTURE(rest);
+        Collected found;
+        MessageParser parser(MessageParser::Kind::Request, found.events());
+        CHECK_FALSE(parser.feed("POST / HTTP/1.1\r\nHost: h\r\n" + rest));
+    }
+}
