Read requests that offer another protocol as HTTP/1.1

An offered protocol may be ignored, and is: only CONNECT is refused. The new case fails on the code before.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -155,6 +155,9 @@
             m_isNameMalformed = true;
             return refuseMessage;
         }
+        // Another protocol that a request offers is declined, which needs no answer (RFC 9110, 7.8).
+        if (m_isRequest && m_parser.method != HTTP_CONNECT)
+            m_parser.upgrade = 0;
         m_hasHead = true;
         if (m_isRequest)
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
--- a/tests/http/MessageParserTest.cpp
+++ b/tests/http/MessageParserTest.cpp
@@ -130,3 +130,20 @@
         CHECK_FALSE(parser.feed("POST / HTTP/1.1\r\nHost: h\r\n" + rest));
     }
 }
+
+TEST_CASE("a request that offers another protocol is read as HTTP/1.1, and so is the one after it")
+{
+    Collected found;
+    MessageParser parser(MessageParser::Kind::Request, found.events());
+    const std::string first = "POST / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+                              "HTTP2-Settings: AAMAAABk\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string second = "GET /b HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n";
+    const auto used = parser.feed(first + second);
+    REQUIRE(used);
+    CHECK(*used == first.size());
+    CHECK(found.bodies.at(0) == "abc");
+    REQUIRE(parser.feed(second));
+    CHECK(found.complete == 2);
+    CHECK(found.heads.at(1).target == "/b");
+    CHECK_FALSE(parser.feed("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n"));
+}
