--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -110,7 +110,7 @@
     /// A statement from the future would outweigh every later one.
     Duration toAge(const json& milliseconds)
     {
-        constexpr std::int64_t maxMilliseconds = 86400 * 1000;
+        constexpr std::int64_t maxMilliseconds = 86'400'000;
         return std::chrono::milliseconds(
             std::clamp<std::int64_t>(milliseconds.get<std::int64_t>(), 0, maxMilliseconds));
     }
