Log the software version of the runner and which stream a request continues

The lines of the incident could not tell a request that continues a stream from a new one, nor the versions of its runners. The version of an entry and the attempt that a request continues are decoded and logged; each request that continues a stream is logged.

--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -31,6 +31,10 @@
     std::optional<Duration> callerTimeout;
     /// Id of the last event that the caller received of the stream that it resumes.
     std::optional<std::uint64_t> lastEvent;
+    /// The caller continues a stream that began in an earlier response.
+    bool isContinuation = false;
+    /// Attempt id of the request whose response brought the first event of that stream; empty if not stated.
+    std::string continuedAttempt;
     std::string model;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -99,6 +99,7 @@
     m_plan.beginAttempt();
     m_router.m_registry.recordDispatch(*runner, now);
     m_lastRunner = runner->entry.id;
+    m_lastVersion = runner->entry.version;
     m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
     m_attempt->runner = runner->entry.id;
     m_attempt->sentAt = now;
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -140,6 +140,8 @@
     std::vector<std::string> m_excludedRunners;
     runners::Placement m_placement;
     std::string m_lastRunner;
+    /// Software version of that runner.
+    std::string m_lastVersion;
     /// Set while the request waits until a runner may take it: time of the next try, and of the last.
     std::optional<TimePoint> m_nextTryAt;
     std::optional<TimePoint> m_lastTryAt;
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -62,8 +62,8 @@
 
 void Session::log(std::string_view outcome, std::uint16_t status, std::string_view detail, TimePoint now) const
 {
-    // Only lines of requests that succeeded at the first attempt may be skipped under load.
-    const bool isRoutine = outcome == "answered" && m_plan.attempts() == 1;
+    // Only lines of new requests that succeeded at the first attempt may be skipped under load.
+    const bool isRoutine = outcome == "answered" && m_plan.attempts() == 1 && !m_admitted.metadata.isContinuation;
     if (isRoutine && !m_router.m_routineLines.tryTake(now))
         return;
     const double firstByte = m_firstByteAt ? toMilliseconds(*m_firstByteAt - m_admitted.arrivedAt) : -1.0;
@@ -71,7 +71,9 @@
         { { "request", m_admitted.metadata.attemptId }, { "route", m_admitted.route->name },
             { "revision", m_admitted.routes->revision() }, { "organisation", m_admitted.organisation },
             { "service", m_admitted.service }, { "prompt_tokens", m_admitted.metadata.promptTokens },
-            { "runner", m_lastRunner }, { "attempts", m_plan.attempts() },
+            { "runner", m_lastRunner }, { "version", m_lastVersion },
+            { "continues", m_admitted.metadata.continuedAttempt },
+            { "after_event", m_admitted.metadata.lastEvent.value_or(0) }, { "attempts", m_plan.attempts() },
             { "prefix", m_affinity.prefixHash == 0 ? "" : toHex(m_affinity.prefixHash) },
             { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
             { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usableRunners) },
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -22,6 +22,8 @@
     /// Start of this lifetime in Unix milliseconds, 0 if not stated; tells a restarted runner from the previous one
     /// with the same id.
     std::uint64_t startedAtMs = 0;
+    /// Version of its software, apart from that of the weights that it serves; empty if not stated.
+    std::string version;
     bool operator==(const RunnerEntry&) const = default;
 };
 
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -46,6 +46,25 @@
     CHECK(metadata->prompt[1].tokens == 410);
 }
 
+TEST_CASE("a request that continues a stream names the attempt that began it, by exactly one header")
+{
+    const auto decode = [](const gateway::Headers& headers) {
+        gateway::HttpRequest request;
+        request.headers = { { "Host", "a.example" }, { "X-Attempt-Id", "abc" } };
+        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+        return platform::HeaderCodec().decodeRequest(request).value();
+    };
+    CHECK_FALSE(decode({}).isContinuation);
+    const auto named = decode({ { "Last-Event-Id", "3" }, { "Resumes", "first" } });
+    CHECK(named.isContinuation);
+    CHECK(named.continuedAttempt == "first");
+    // An id that is no number, or 0, is an event of the caller all the same.
+    CHECK(decode({ { "Last-Event-Id", "x" } }).isContinuation);
+    CHECK(decode({ { "Last-Event-Id", "0" } }).isContinuation);
+    CHECK(decode({ { "Resumes", "first" } }).isContinuation);
+    CHECK(decode({ { "Last-Event-Id", "3" }, { "Resumes", "a" }, { "Resumes", "b" } }).continuedAttempt.empty());
+}
+
 TEST_CASE("a request is refused unless it has exactly one Host and one attempt id, and a numeric deadline")
 {
     for (const char* name : { "Host", "X-Attempt-Id" }) {
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -97,9 +97,24 @@
     CHECK(entry->ip == "10.0.0.9");
     CHECK(entry->port == 8080);
     CHECK(entry->startedAtMs == 1700000000000);
+    CHECK(entry->version == "v1");
     CHECK_FALSE(entry->isLeaving);
 }
 
+TEST_CASE("an entry whose software version is missing or no text names a runner of unknown version")
+{
+    const platform::StoreDocumentCodec documents;
+    for (const std::string_view version :
+        { R"("number":"v1")", R"("version":1)", R"("version":null)", R"("version":["v1"])" }) {
+        CAPTURE(version);
+        std::string text = runner;
+        text.replace(text.find(R"("version":"v1")"), std::string_view(R"("version":"v1")").size(), version);
+        const auto entry = documents.decodeRunner("servers/i-1", text);
+        REQUIRE(entry);
+        CHECK(entry->version.empty());
+    }
+}
+
 TEST_CASE("malformed runner entries are refused")
 {
     const platform::StoreDocumentCodec documents;
--- a/tests/proxy/OverloadControlTest.cpp
+++ b/tests/proxy/OverloadControlTest.cpp
@@ -19,7 +19,7 @@
     {
         std::vector<runners::RunnerEntry> entries;
         for (int i = 0; i < 18; ++i)
-            entries.push_back({ "r-" + std::to_string(i), "service", "10.0.0.1", 1, "a", slots, false, 1 });
+            entries.push_back({ "r-" + std::to_string(i), "service", "10.0.0.1", 1, "a", slots, false, 1, "v1" });
         registry.apply(entries, start, [](const std::string&) {});
         for (int i = 1; i < 18; ++i)
             registry.recordLimit(runner(i), 3.0, start, start);
--- a/tests/proxy/RouterFixture.h
+++ b/tests/proxy/RouterFixture.h
@@ -101,7 +101,7 @@
 
     static runners::RunnerEntry runnerEntry(const std::string& id, std::uint16_t port)
     {
-        return { id, "pool", "127.0.0.1", port, "a", 8, false, 1 };
+        return { id, "pool", "127.0.0.1", port, "a", 8, false, 1, "v1" };
     }
 
     std::shared_ptr<Peer> connect(
--- a/tests/runners/LimitReplayTest.cpp
+++ b/tests/runners/LimitReplayTest.cpp
@@ -153,7 +153,7 @@
         daemon.toldAt.assign(m_limits.size(), std::nullopt);
         std::vector<runners::RunnerEntry> entries;
         for (std::size_t runner = 0; runner < m_limits.size(); ++runner)
-            entries.push_back({ idOf(runner), "service", "10.0.0.1", 1, "a", 64, false, 1 });
+            entries.push_back({ idOf(runner), "service", "10.0.0.1", 1, "a", 64, false, 1, "v1" });
         daemon.registry->apply(entries, now, [](const std::string&) {});
         FleetView fleet { hash64("daemon", index), {} };
         for (std::size_t other = 0; other < m_daemons.size(); ++other) {
--- a/tests/runners/PlacementTest.cpp
+++ b/tests/runners/PlacementTest.cpp
@@ -21,7 +21,7 @@
     {
         for (int i = 0; i < count; ++i)
             entries.push_back(
-                { "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, i % 2 == 0 ? "a" : "b", 64, false, 1 });
+                { "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, i % 2 == 0 ? "a" : "b", 64, false, 1, "v1" });
         apply();
     }
     void apply()
@@ -138,7 +138,7 @@
     for (auto& entry : fleet.entries)
         entry.isLeaving = false;
     for (int i = 100; i < 160; ++i)
-        fleet.entries.push_back({ "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, "a", 64, false, 1 });
+        fleet.entries.push_back({ "r-" + std::to_string(i), "pool", "127.0.0.1", 8000, "a", 64, false, 1, "v1" });
     fleet.registry.apply(fleet.entries, later, [](const std::string&) {});
     const auto young = runners::place(fleet.registry, request, {}, later);
     REQUIRE(young.runner->listedSince == later);
--- a/tests/runners/RegistryTest.cpp
+++ b/tests/runners/RegistryTest.cpp
@@ -13,7 +13,7 @@
 
 runners::RunnerEntry entry(const std::string& id, std::uint64_t startedAt = 1)
 {
-    return { id, "service", "127.0.0.1", 8000, "a", 8, false, startedAt };
+    return { id, "service", "127.0.0.1", 8000, "a", 8, false, startedAt, "v1" };
 }
 
 struct Fixture {
