--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -67,11 +67,14 @@
           [this] { return std::uniform_real_distribution<double>()(m_random); },
           { [this] { publish(); },
               [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); },
-              [this](std::vector<fleet::RunnerStatement> statements) {
-                  m_traffic.mergeStatements(std::move(statements));
-              } })
+              [this](
+                  std::vector<fleet::RunnerStatement> statements) { m_traffic.mergeStatements(std::move(statements)); },
+              [this](
+                  std::vector<runners::SoleVersion> versions) { m_traffic.mergeSoleVersions(std::move(versions)); } })
+    , m_directory(m_context, traffic.context(), m_fleet)
     , m_lastTick(currentTime())
 {
+    m_traffic.setOriginDirectory(&m_directory);
     m_traffic.setReportListener([this](proxy::RunnerReport report) {
         asio::post(m_context, [this, report = std::move(report)]() mutable { m_fleet.setReport(std::move(report)); });
     });
@@ -256,6 +259,7 @@
     m_metrics.setGauge("eelgrassford_members_heard", static_cast<double>(m_fleet.gossip().liveCount(now)));
     m_metrics.setGauge("eelgrassford_store_reader", m_fleet.isReader(now) ? 1.0 : 0.0);
     m_metrics.setGauge("eelgrassford_store_era", static_cast<double>(m_mirror.era().value_or(0)));
+    m_metrics.setGauge("eelgrassford_kept_stream_origins", static_cast<double>(m_fleet.keptOrigins()));
     m_metrics.setTotal("eelgrassford_store_queries_total", static_cast<double>(m_mirror.queryCount()));
     m_metrics.setTotal("eelgrassford_peer_fetches_total", static_cast<double>(m_fleet.fetchCount()));
     m_metrics.setTotal("eelgrassford_fleet_sent_bytes_total", static_cast<double>(socket.sentBytes()));
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -2,6 +2,7 @@
 
 #include "daemon/PeriodicTimer.h"
 #include "edge/DocumentCodec.h"
+#include "edge/FleetDirectory.h"
 #include "edge/FleetLink.h"
 #include "edge/RelaySettings.h"
 #include "edge/TrafficLoop.h"
@@ -57,6 +58,7 @@
     /// Serves the metrics on the additional address; null if the settings name none.
     std::unique_ptr<gateway::AdminServer> m_metricsServer;
     FleetLink m_fleet;
+    FleetDirectory m_directory;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
     std::vector<runners::RunnerEntry> m_runners;
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -56,6 +56,7 @@
     , m_gossip({ settings.ip, settings.region, incarnation }, {}, std::move(random))
     , m_readerElection(
           settings.ip, incarnation, fleet::ReaderElection::Options::forDeadline(settings.configurationDeadline))
+    , m_directory(settings.ip, incarnation, {})
     , m_socket(context, settings.ip, settings.fleetPort,
           [this](const std::string& from, const fleet::Message& message) { receive(from, message); })
     , m_server(context, serverOptions(settings),
@@ -78,6 +79,9 @@
     updateMembers(now);
     logMissedChanges(now);
     send(m_gossip.takeDue(localState(), now));
+    m_directory.setMembers(m_gossip.liveIps(now));
+    m_directory.setSoleVersions(m_report.soleVersions);
+    send(m_directory.tick(now));
     if (shouldAskReaders(now)) {
         if (const auto outgoing = m_readerElection.nextRequest(now, m_gossip.aggregation().isOwnAggregator()))
             m_socket.send(outgoing->ip, fleet::encode(outgoing->request));
@@ -113,7 +117,21 @@
     send(m_gossip.takeDue(localState(), now));
 }
 
-void FleetLink::leave(TimePoint now) { send(m_gossip.leave(localState(), now)); }
+void FleetLink::publishOrigins(std::span<const dispatch::StreamOrigin> origins, TimePoint now)
+{
+    send(m_directory.publish(origins, now));
+}
+
+void FleetLink::findOrigin(dispatch::StreamKey stream, fleet::StreamDirectory::Finder finder, TimePoint now)
+{
+    send(m_directory.find(stream, std::move(finder), now));
+}
+
+void FleetLink::leave(TimePoint now)
+{
+    send(m_directory.handOver(now));
+    send(m_gossip.leave(localState(), now));
+}
 
 bool FleetLink::shouldAskReaders(TimePoint now) const
 {
@@ -154,6 +172,22 @@
         m_socket.send(from, fleet::encode(reply));
     } else if (const auto* reply = std::get_if<fleet::FreshnessReply>(&message)) {
         onReply(*reply, now);
+    } else {
+        receiveOrigins(from, message, now);
+    }
+}
+
+void FleetLink::receiveOrigins(const std::string& from, const fleet::Message& message, TimePoint now)
+{
+    if (const auto* list = std::get_if<fleet::StreamOriginList>(&message)) {
+        m_directory.receive(*list, now);
+    } else if (const auto* question = std::get_if<fleet::StreamQuestion>(&message)) {
+        send(m_directory.receive(from, *question, now));
+    } else if (const auto* answer = std::get_if<fleet::StreamAnswer>(&message)) {
+        // Before the answer is passed on: a sole version may tell what the answer does not.
+        if (!answer->soleVersions.empty())
+            m_events.soleVersionsReceived(answer->soleVersions);
+        m_directory.receive(from, *answer);
     }
 }
 
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -6,6 +6,7 @@
 #include "fleet/Gossip.h"
 #include "fleet/MissedChanges.h"
 #include "fleet/ReaderElection.h"
+#include "fleet/StreamDirectory.h"
 #include "gateway/HttpServer.h"
 #include "proxy/RunnerReport.h"
 #include "store/Mirror.h"
@@ -23,6 +24,8 @@
         std::function<void(std::vector<dispatch::CrashRecord>)> crashRecordsReceived;
         /// Another daemon sent what runners stated of themselves.
         std::function<void(std::vector<fleet::RunnerStatement>)> statementsReceived;
+        /// Another daemon sent which versions it knows to have served alone.
+        std::function<void(std::vector<runners::SoleVersion>)> soleVersionsReceived;
     };
 
     /// @param random returns uniform numbers in [0, 1)
@@ -35,7 +38,11 @@
     void setReport(proxy::RunnerReport report) { m_report = std::move(report); }
     /// @brief Tells the other daemons of changes at once; called after the store returned them.
     void announce(TimePoint now);
-    /// @brief Tells the other daemons that this one is leaving.
+    /// @brief Gives origins of streams to the daemons that keep them.
+    void publishOrigins(std::span<const dispatch::StreamOrigin> origins, TimePoint now);
+    /// @brief Asks which software began a stream.
+    void findOrigin(dispatch::StreamKey stream, fleet::StreamDirectory::Finder finder, TimePoint now);
+    /// @brief Tells the other daemons that this one is leaving, and gives them the origins that it keeps.
     void leave(TimePoint now);
     /// @brief Discards the datagrams that arrived while the process was suspended.
     void onProcessResumed();
@@ -48,11 +55,14 @@
     const FleetSocket& socket() const { return m_socket; }
     /// @brief Fetches of published changes from other daemons.
     std::uint64_t fetchCount() const { return m_fetchCount; }
+    /// @brief Origins of streams that this daemon keeps for the fleet.
+    std::size_t keptOrigins() const { return m_directory.keptOrigins(); }
     /// @brief Whether this daemon queries the store itself.
     bool isReader(TimePoint now) const;
 
 private:
     void receive(const std::string& from, const fleet::Message& message);
+    void receiveOrigins(const std::string& from, const fleet::Message& message, TimePoint now);
     void onNews(const std::optional<fleet::Gossip::News>& news, TimePoint now);
     void onReply(const fleet::FreshnessReply& reply, TimePoint now);
     void adoptProof(std::uint64_t changeRevision, std::optional<TimePoint> provenAt);
@@ -74,6 +84,7 @@
     fleet::Gossip m_gossip;
     fleet::ReaderElection m_readerElection;
     fleet::MissedChanges m_missedChanges;
+    fleet::StreamDirectory m_directory;
     /// Set once a log line says that changes are missing.
     std::optional<TimePoint> m_loggedBehindSince;
     FleetSocket m_socket;
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -118,6 +118,11 @@
     asio::post(m_context, [this, statements = std::move(statements)] { m_router.mergeStatements(statements); });
 }
 
+void TrafficLoop::mergeSoleVersions(std::vector<runners::SoleVersion> versions)
+{
+    asio::post(m_context, [this, versions = std::move(versions)] { m_router.mergeSoleVersions(versions); });
+}
+
 void TrafficLoop::setFleet(std::vector<std::string> otherIps)
 {
     asio::post(m_context, [this, otherIps = std::move(otherIps)] {
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -31,6 +31,11 @@
     void mergeCrashRecords(std::vector<dispatch::CrashRecord> records);
     /// @brief Merges what runners stated of themselves to other daemons.
     void mergeStatements(std::vector<fleet::RunnerStatement> statements);
+    /// @brief Merges which versions other daemons know to have served alone.
+    void mergeSoleVersions(std::vector<runners::SoleVersion> versions);
+    /// @brief Sets where origins of streams are shared; must be called before run().
+    void setOriginDirectory(proxy::OriginDirectory* directory) { m_router.setOriginDirectory(directory); }
+    asio::io_context& context() { return m_context; }
     /// @brief Sets the other daemons, among which the limits of runners and the retry allowance are shared.
     void setFleet(std::vector<std::string> otherIps);
     /// @brief Begins a graceful stop.
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -150,6 +150,44 @@
 
     json toJson(const FreshnessReply& reply) { return { reply.nonce, reply.proofAgeMs, reply.changeRevision }; }
 
+    json toJson(const StreamOriginList& list)
+    {
+        auto origins = json::array();
+        for (const auto& origin : list.origins)
+            origins.push_back({ origin.stream, origin.software });
+        return json::array({ origins });
+    }
+
+    json toJson(const StreamQuestion& question) { return { question.nonce, question.stream }; }
+
+    json toJson(const StreamAnswer& answer)
+    {
+        auto versions = json::array();
+        for (const auto& version : answer.soleVersions)
+            versions.push_back({ version.service, version.software, toMillisecondCount(version.age) });
+        return { answer.nonce, answer.software ? json(*answer.software) : json(), versions };
+    }
+
+    StreamOriginList toOriginList(const json& fields)
+    {
+        StreamOriginList list;
+        for (const auto& origin : fields.at(0))
+            list.origins.push_back({ origin.at(0).get<std::uint64_t>(), origin.at(1).get<std::uint64_t>() });
+        return list;
+    }
+
+    StreamAnswer toAnswer(const json& fields)
+    {
+        StreamAnswer answer;
+        answer.nonce = fields.at(0).get<std::uint64_t>();
+        if (!fields.at(1).is_null())
+            answer.software = fields.at(1).get<std::uint64_t>();
+        for (const auto& version : fields.at(2))
+            answer.soleVersions.push_back(
+                { version.at(0).get<std::uint64_t>(), version.at(1).get<std::uint64_t>(), toAge(version.at(2)) });
+        return answer;
+    }
+
     Digest toDigest(const json& fields)
     {
         Digest digest;
@@ -258,6 +296,12 @@
             return toReply(fields);
         case 3:
             return toSummary(fields);
+        case 4:
+            return toOriginList(fields);
+        case 5:
+            return StreamQuestion { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>() };
+        case 6:
+            return toAnswer(fields);
         default:
             return tl::unexpected(DigestError { "unknown kind of message" });
         }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "dispatch/CrashRegistry.h"
+#include "dispatch/StreamOrigins.h"
+#include "runners/SoleVersion.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -129,7 +131,29 @@
     bool operator==(const FreshnessReply&) const = default;
 };
 
-using Message = std::variant<Digest, FreshnessRequest, FreshnessReply, Summary>;
+/// @brief Gives origins of streams to a daemon that keeps them.
+struct StreamOriginList {
+    std::vector<dispatch::StreamOrigin> origins;
+};
+
+/// @brief Asks a daemon which software began a stream, and which versions it knows to have served alone.
+struct StreamQuestion {
+    /// Matches the answer to its question.
+    std::uint64_t nonce = 0;
+    dispatch::StreamKey stream = 0;
+};
+
+/// @brief Answers a StreamQuestion.
+struct StreamAnswer {
+    /// Nonce of the question.
+    std::uint64_t nonce = 0;
+    /// Software that began the stream; empty if the sender does not know it.
+    std::optional<std::uint64_t> software;
+    std::vector<runners::SoleVersion> soleVersions;
+};
+
+using Message
+    = std::variant<Digest, FreshnessRequest, FreshnessReply, Summary, StreamOriginList, StreamQuestion, StreamAnswer>;
 
 /// @brief A datagram that cannot be decoded.
 struct DigestError {
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -100,6 +100,11 @@
     virtual ResponseMetadata decodeResponse(const http::MessageHead& head) const = 0;
     /// @brief Headers for the caller: the runner's headers without hop-by-hop ones.
     virtual gateway::Headers encodeResponse(const gateway::Headers& headers) const = 0;
+    /// @brief Request line and headers, without the Host header, that ask a runner for its cached parts of prompts.
+    virtual std::string encodeCacheQuery() const = 0;
+    /// @brief Decodes the response to that request.
+    /// @return the parts with their cached tokens; empty if the response cannot be read
+    virtual std::vector<PromptPart> decodeCachedParts(std::string_view body) const = 0;
     /// @brief Headers of a response that the daemon generates itself.
     /// @param retryAfter time after which the caller may try again, if any
     virtual gateway::Headers encodeRefusal(const std::string& attemptId, std::optional<Duration> retryAfter) const = 0;
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -71,6 +71,8 @@
     , m_registry(options.registry)
     , m_overload(m_registry)
     , m_promptIndex(options.promptIndexCapacity)
+    , m_versionHistory(options.versionHistory)
+    , m_streamOrigins(options.streamOrigins)
     , m_routineLines(options.routineLinesPerSecond)
     , m_startedAt(m_clock())
 {
@@ -211,7 +213,7 @@
 
 RunnerReport Router::runnerReport(TimePoint now) const
 {
-    return { runnerStates(now), m_crashes.records(now), recentStatements(now) };
+    return { runnerStates(now), m_crashes.records(now), recentStatements(now), m_versionHistory.soleVersions(now) };
 }
 
 std::vector<fleet::RunnerStatement> Router::recentStatements(TimePoint now) const
@@ -340,6 +342,11 @@
 
 void Router::setRunners(std::span<const runners::RunnerEntry> entries)
 {
+    const auto soleBefore = m_versionHistory.soleVersions(m_clock());
+    m_versionHistory.recordListing(entries, m_clock());
+    // Streams that began while one version served were not told to anyone.
+    if (m_versionHistory.soleVersions(m_clock()).size() < soleBefore.size())
+        publishOrigins(m_clock());
     m_registry.apply(entries, m_clock(), [this](const std::string& id) {
         const auto pool = m_pools.find(id);
         if (pool == m_pools.end())
@@ -351,6 +358,7 @@
 
 void Router::confirmConfiguration(TimePoint confirmedAt)
 {
+    m_versionHistory.recordProof(confirmedAt);
     if (!m_confirmedAt || confirmedAt > *m_confirmedAt)
         m_confirmedAt = confirmedAt;
 }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "dispatch/CrashRegistry.h"
+#include "dispatch/StreamOrigins.h"
 #include "dispatch/WindowedRetryBudget.h"
 #include "fleet/Members.h"
 #include "gateway/Http.h"
+#include "proxy/CacheSurvey.h"
 #include "proxy/Codec.h"
+#include "proxy/OriginDirectory.h"
 #include "proxy/OverloadControl.h"
 #include "proxy/PromptIndex.h"
 #include "proxy/RunnerReport.h"
@@ -12,6 +15,7 @@
 #include "routing/RouteTable.h"
 #include "runners/Placement.h"
 #include "runners/Registry.h"
+#include "runners/VersionHistory.h"
 #include "telemetry/LineBudget.h"
 #include "telemetry/Metrics.h"
 #include "upstream/ConnectionPool.h"
@@ -35,6 +39,8 @@
     dispatch::WindowedRetryBudget::Options retryBudget;
     runners::PlacementOptions placement;
     runners::RegistryOptions registry;
+    runners::VersionHistoryOptions versionHistory;
+    dispatch::StreamOrigins::Options streamOrigins;
     upstream::ConnectionPoolOptions connections;
     /// Shortest time without an event after which a resumable stream that has begun continues at another runner.
     Duration streamIdleTimeout = std::chrono::milliseconds(1200);
@@ -89,11 +95,16 @@
     void mergeCrashRecords(std::span<const dispatch::CrashRecord> records);
     /// @brief Merges what runners stated of themselves to other daemons.
     void mergeStatements(std::span<const fleet::RunnerStatement> statements);
+    /// @brief Sets where origins of streams are shared with other daemons; null while they are not. Must outlive the
+    /// router.
+    void setOriginDirectory(OriginDirectory* directory) { m_directory = directory; }
+    /// @brief Merges which versions other daemons know to have served alone.
+    void mergeSoleVersions(std::span<const runners::SoleVersion> versions);
     /// @brief Sets the daemons among which the limits of runners are shared, by their addresses.
     void setFleet(std::string_view ownIp, std::span<const std::string> otherIps);
     /// @brief Begins a graceful stop: refuses new requests that may not end in time.
     /// @param cutAt time at which the requests in flight are cut off
-    void beginStop(TimePoint cutAt) { m_stop.emplace(now(), cutAt); }
+    void beginStop(TimePoint cutAt);
     /// @brief Closes connections that were idle for too long, expires crash records, and detects services that are no
     /// longer overloaded; call a few times a second.
     void sweep(TimePoint now);
@@ -172,6 +183,18 @@
     /// Refuses a request that its service cannot serve in time.
     std::optional<Refusal> refuseIfOverloaded(
         const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now);
+    /// Records which software sends a stream, and tells the other daemons while several versions may serve.
+    void recordOrigins(std::span<const dispatch::StreamOrigin> origins, std::string_view service, TimePoint now);
+    /// Gives the origins of all streams to the other daemons.
+    void publishOrigins(TimePoint now);
+    /// Called with the software that began a stream, or without it.
+    using OriginFinder = OriginDirectory::Finder;
+    /// Asks the runners of a service which software has read a prompt.
+    void findInCaches(const std::string& service, const PromptPart& lastPart, OriginFinder finder);
+    /// The software that began every stream of a route; empty if there may be several.
+    std::optional<std::uint64_t> soleSoftware(const routing::Route& route, TimePoint now) const;
+    /// The service of a route in which a runner runs the software; empty if there is none.
+    std::string destinationOf(const routing::Route& route, std::uint64_t software) const;
     /// Probes a runner that lost a connection under a request, and records a crash if the runner is dead.
     /// @param suspects the request, and those parts of its prompt that may be the cause
     void probeAfterConnectionLoss(const std::string& runner, std::vector<dispatch::CrashSuspect> suspects);
@@ -201,6 +224,23 @@
     std::map<std::string, std::uint64_t> m_removedRunnerConnections;
     PromptIndex m_promptIndex;
     dispatch::CrashRegistry m_crashes;
+    runners::VersionHistory m_versionHistory;
+    /// Streams that this daemon relayed, with the software that began them.
+    dispatch::StreamOrigins m_streamOrigins;
+    OriginDirectory* m_directory = nullptr;
+    /// A survey of the caches of a service, running or finished.
+    struct RunningSurvey {
+        CacheSurvey survey;
+        std::vector<std::pair<PromptPart, OriginFinder>> waiting;
+        std::vector<upstream::ConnectionPool::Handle> queries;
+        std::size_t unanswered = 0;
+        TimePoint begunAt {};
+        bool isFinished = false;
+    };
+    /// The last survey of each service.
+    std::map<std::string, std::shared_ptr<RunningSurvey>> m_surveys;
+    void startSurvey(const std::string& service, const std::shared_ptr<RunningSurvey>& survey, TimePoint now);
+    void finishSurvey(const std::string& service, RunningSurvey& survey);
     /// Set once a graceful stop has begun.
     std::optional<StopAdmission> m_stop;
     telemetry::LineBudget m_routineLines;
--- a/src/proxy/RunnerReport.h
+++ b/src/proxy/RunnerReport.h
@@ -14,6 +14,8 @@
     std::vector<dispatch::CrashRecord> crashes;
     /// What runners stated of themselves.
     std::vector<fleet::RunnerStatement> statements;
+    /// Versions that alone serve a service, with the time for which that is known.
+    std::vector<runners::SoleVersion> soleVersions;
 };
 
 }
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -19,10 +19,6 @@
     /// Largest part of the latency objective for which a request waits until a runner may take it.
     constexpr double maxWaitShare = 0.125;
 
-    /// Events from which the runner is known to be able to answer a prompt. A runner that crashes on a part of a prompt
-    /// does so as it begins to answer.
-    constexpr std::uint64_t minEventsOfAnswer = 2;
-
     std::string_view contentTypeOf(const http::MessageHead& head) { return head.header("Content-Type").value_or(""); }
 
     bool isSuccess(std::uint16_t status) { return status / 100 == 2; }
@@ -67,8 +63,12 @@
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
     });
-    send();
-    armTimer();
+    if (m_admitted.route->kind == routing::RequestKind::Stream && m_admitted.metadata.isContinuation)
+        continueStream();
+    else
+        send();
+    if (!m_isFinished)
+        armTimer();
 }
 
 void Session::send()
@@ -88,6 +88,7 @@
     request.previousRunner = m_router.m_promptIndex.lastRunner(m_affinity.promptHash);
     request.dataCentre = m_router.m_options.dataCentre;
     request.excluded = m_excludedRunners;
+    request.software = m_software;
     request.tieBreaker = m_router.draw();
     m_placement = runners::place(m_router.m_registry, request, m_router.m_options.placement, now);
     auto* runner = m_placement.runner;
@@ -102,6 +103,8 @@
     m_lastVersion = runner->entry.version;
     m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
     m_attempt->runner = runner->entry.id;
+    if (m_router.m_registry.isSoftwareCertain(*runner, now))
+        m_attempt->software = runner->software;
     m_attempt->sentAt = now;
     m_attempt->lastProgressAt = now;
     upstream::Exchange exchange;
@@ -130,6 +133,8 @@
         execute(RelayStep::RefuseNotRun, "all runners ask for a pause");
     else if (m_placement.availableAt)
         execute(RelayStep::RefuseNotRun, "the rate limits of all runners are used up");
+    else if (m_software)
+        execute(RelayStep::RefuseNotRun, "no runner of the software that began the stream is usable");
     else
         execute(RelayStep::RefuseNotRun, "no runner is usable");
 }
@@ -256,42 +261,10 @@
         && m_inFlight->bufferedResponseBytes + bytes <= m_router.m_options.responseBufferLimit;
 }
 
-bool Session::relayEvents()
-{
-    auto& attempt = *m_attempt;
-    std::string text;
-    bool isSound = true;
-    while (const auto event = attempt.events.next()) {
-        // In a stream whose events have ids, one without is no part of it.
-        const bool lacksId = m_lastEvent > 0 && !event->offset && !event->isComment && !event->isEnd;
-        if (event->isMalformed || lacksId) {
-            isSound = false;
-            break;
-        }
-        attempt.lastProgressAt = m_router.now();
-        if (++attempt.eventCount == minEventsOfAnswer)
-            m_router.m_crashes.recordServed(std::span(m_admitted.suspects).subspan(1), attempt.lastProgressAt);
-        // A resumed stream may begin with events that the caller already has.
-        if (event->offset && *event->offset <= m_lastEvent)
-            continue;
-        if (event->offset)
-            m_lastEvent = *event->offset;
-        text += event->text;
-    }
-    if (text.empty())
-        return isSound;
-    if (!m_hasResponseStarted) {
-        recordFirstByte(attempt.lastProgressAt);
-        startResponse();
-    }
-    m_responder->write(std::move(text));
-    return isSound;
-}
-
 std::vector<dispatch::CrashSuspect> Session::crashSuspects() const
 {
     auto result = m_admitted.suspects;
-    if (m_attempt->eventCount >= minEventsOfAnswer)
+    if (m_attempt->hasBegunAnswer())
         result.resize(1);
     return result;
 }
@@ -357,27 +330,6 @@
     finish(isSuccess(status) ? "answered" : "failed-by-runner", status, {});
 }
 
-void Session::finishStream()
-{
-    const auto now = m_router.now();
-    if (m_attempt->events.isInEvent()) {
-        fail(AttemptFailure::Broken, Observation::Failed, "the stream ended within an event");
-        return;
-    }
-    // Only the end of the connection says that such a stream is complete, and a runner that crashes closes it too.
-    if (m_attempt->head.isEndedByClose && m_attempt->eventCount == 0) {
-        fail(AttemptFailure::Broken, Observation::ConnectionLost, "the stream ended without an event");
-        return;
-    }
-    if (!m_hasResponseStarted)
-        startResponse();
-    if (m_affinity.promptHash != 0)
-        m_router.m_promptIndex.recordServed(m_affinity.promptHash, m_attempt->runner);
-    endAttempt(Observation::Served, now);
-    m_responder->end();
-    finish("answered", status::ok, {});
-}
-
 void Session::recordFirstByte(TimePoint now)
 {
     m_firstByteAt = now;
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -53,6 +53,8 @@
         Attempt& operator=(const Attempt&) = delete;
 
         std::string runner;
+        /// Software of the runner, unknownSoftware if it may have restarted since it was listed.
+        std::uint64_t software = runners::unknownSoftware;
         upstream::ConnectionPool::Handle handle;
         http::MessageHead head;
         ResponseMetadata metadata;
@@ -67,12 +69,28 @@
         std::size_t& bufferedBytes;
         upstream::EventStreamParser events;
         std::uint64_t eventCount = 0;
+        /// Events from which the runner is known to be able to answer a prompt. A runner that crashes on a part of a
+        /// prompt does so as it begins to answer.
+        static constexpr std::uint64_t minEventsOfAnswer = 2;
+        bool hasBegunAnswer() const { return eventCount >= minEventsOfAnswer; }
         TimePoint sentAt {};
         /// Time at which the request was sent, its response began or an event last arrived whole. Other bytes are no
         /// progress: a runner may send some now and then without ever completing an event.
         TimePoint lastProgressAt {};
     };
 
+    /// Key of the stream that an attempt of this organisation began.
+    dispatch::StreamKey streamOf(std::string_view attempt) const;
+    /// Finds out which software began the stream that the request continues, and sends it there.
+    void continueStream();
+    /// The same if no daemon knows the stream.
+    void continueUntold();
+    /// Sends the request to a runner of the software that began its stream.
+    /// @param software empty if it is not known
+    /// @param evidence how it is known, for the log
+    void continueAt(std::optional<std::uint64_t> software, std::string_view evidence);
+    /// Records which software sends the events that the caller gets.
+    void recordOrigin(TimePoint now);
     /// Places the request and sends it to the chosen runner.
     void send();
     /// Decides what follows when no runner can take the request now.
@@ -142,6 +160,11 @@
     std::string m_lastRunner;
     /// Software version of that runner.
     std::string m_lastVersion;
+    /// Software that began the stream, once that is known. The stream goes on at no other.
+    std::optional<std::uint64_t> m_software;
+    /// How it is known which software began a stream that the request continues; empty for other requests.
+    std::string_view m_originEvidence;
+    bool m_isOriginRecorded = false;
     /// Set while the request waits until a runner may take it: time of the next try, and of the last.
     std::optional<TimePoint> m_nextTryAt;
     std::optional<TimePoint> m_lastTryAt;
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -10,6 +10,8 @@
 
     /// Mean Retry-After of a request for which no runner was usable.
     constexpr Duration retryAfterNoRunner = std::chrono::milliseconds(300);
+    /// The same for a stream that no runner can continue now. Little changes until a runner is listed anew.
+    constexpr Duration retryAfterNoVersion = std::chrono::seconds(1);
     /// Part of the time left within which a caller is asked to come back; callers wait no longer than a third.
     constexpr double retryShareOfTimeLeft = 0.33;
 
@@ -22,7 +24,9 @@
         const bool isPaused = m_placement.awaited == runners::Exclusion::Paused;
         refusal = { status::unavailable, isPaused ? "runners-paused" : "rate-limited",
             retryAfterAvailable(m_router.now()) };
-    }
+    } else if (m_admitted.metadata.isContinuation && !m_originEvidence.empty())
+        refusal = { status::unavailable, m_software ? "no-runner-of-version" : "unknown-stream",
+            m_router.withJitter(retryAfterNoVersion) };
     m_router.refuse(*m_responder, m_admitted.metadata, refusal);
     finish("not-run", status::unavailable, detail);
 }
@@ -73,7 +77,8 @@
             { "service", m_admitted.service }, { "prompt_tokens", m_admitted.metadata.promptTokens },
             { "runner", m_lastRunner }, { "version", m_lastVersion },
             { "continues", m_admitted.metadata.continuedAttempt },
-            { "after_event", m_admitted.metadata.lastEvent.value_or(0) }, { "attempts", m_plan.attempts() },
+            { "after_event", m_admitted.metadata.lastEvent.value_or(0) }, { "origin", m_originEvidence },
+            { "software", m_software ? toHex(*m_software) : "" }, { "attempts", m_plan.attempts() },
             { "prefix", m_affinity.prefixHash == 0 ? "" : toHex(m_affinity.prefixHash) },
             { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
             { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usableRunners) },
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -12,14 +12,16 @@
     /// Load added for a failure rate of 1, in requests.
     constexpr double failurePenalty = 8.0;
 
-    bool isExcluded(const Runner& runner, const PlacementRequest& request)
+    bool isExcluded(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
+        if (request.software && (runner.software != *request.software || !registry.isSoftwareCertain(runner, now)))
+            return true;
         return std::find(request.excluded.begin(), request.excluded.end(), runner.entry.id) != request.excluded.end();
     }
 
     bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
-        return registry.isUsable(runner, now) && !isExcluded(runner, request);
+        return registry.isUsable(runner, now) && !isExcluded(registry, runner, request, now);
     }
 
     /// Load per slot, with the penalties for distance and failures.
@@ -64,7 +66,7 @@
     {
         BestCandidate best;
         for (auto* runner : registry.runnersOf(request.service)) {
-            if (isExcluded(*runner, request))
+            if (isExcluded(registry, *runner, request, now))
                 continue;
             const auto availability = registry.availability(*runner, now);
             if (availability.isBinding()) {
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -20,6 +20,9 @@
     std::string_view dataCentre;
     /// Ids of runners that must not get this request again.
     std::span<const std::string> excluded;
+    /// Software that began the stream that the request continues; other runners must not get it. Empty for a request
+    /// that may begin anywhere.
+    std::optional<std::uint64_t> software;
     /// Random number that decides between otherwise equal runners.
     std::uint64_t tieBreaker = 0;
 };
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -12,7 +12,7 @@
     bool isSameLifetime(const RunnerEntry& left, const RunnerEntry& right)
     {
         return left.service == right.service && left.ip == right.ip && left.port == right.port
-            && left.startedAtMs == right.startedAtMs;
+            && left.startedAtMs == right.startedAtMs && left.version == right.version;
     }
 
     bool isNoticeableChange(std::optional<double> before, std::optional<double> after)
@@ -25,6 +25,11 @@
 
 }
 
+std::uint64_t softwareOf(const RunnerEntry& entry)
+{
+    return entry.version.empty() ? unknownSoftware : hash64(entry.version, hash64(entry.service));
+}
+
 Registry::Registry(const RegistryOptions& options)
     : m_options(options)
 {
@@ -54,6 +59,7 @@
         if (!runner) {
             runner = std::make_unique<Runner>();
             runner->identity = hash64(entry.id, entry.startedAtMs);
+            runner->software = softwareOf(entry);
             runner->nextSuspension = m_options.firstSuspension;
             runner->listedSince = now;
             if (const auto leaving = m_unlistedLeaving.extract(runner->identity))
@@ -76,6 +82,12 @@
     return found == m_runners.end() ? nullptr : found->second.get();
 }
 
+bool Registry::isSoftwareCertain(const Runner& runner, TimePoint now) const
+{
+    return runner.software != unknownSoftware
+        && (!runner.unconnectedAt || now - *runner.unconnectedAt > m_options.restartListingTime);
+}
+
 std::span<Runner* const> Registry::runnersOf(std::string_view service) const
 {
     const auto found = m_byService.find(service);
@@ -175,6 +187,7 @@
             return false;
         return suspendForConnectionFailures(runner, now);
     case Observation::CannotConnect:
+        runner.unconnectedAt = now;
         ++runner.consecutiveConnectionFailures;
         return suspendForConnectionFailures(runner, now);
     case Observation::Replaced:
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -49,6 +49,8 @@
     double returnShare = 0.25;
     /// Time between the first request after a pause and the next ones, in which the runner may refuse again.
     Duration returnInterval = std::chrono::milliseconds(250);
+    /// Time after a refused connection within which the listing shows that a runner has restarted.
+    Duration restartListingTime = std::chrono::seconds(3);
     /// Age beyond which a reported load is ignored.
     Duration reportLifetime = std::chrono::milliseconds(1000);
 };
@@ -61,12 +63,15 @@
 
     explicit Registry(const RegistryOptions& options = {});
 
-    /// @brief Replaces the listing by the runners that the platform lists now. A runner whose service, address or start
-    /// time changed is removed and added anew, without its load and health.
+    /// @brief Replaces the listing by the runners that the platform lists now. A runner whose service, address, start
+    /// time or software version changed is removed and added anew, without its load and health.
     void apply(std::span<const RunnerEntry> entries, TimePoint now, const RemovalHandler& removed);
 
     /// @return the runner, or null if none is listed under this id
     Runner* find(std::string_view id);
+    /// @brief Whether a runner can be trusted to run the software that its entry states. One that refused connections
+    /// lately has ended, and a process that answers at its address may run other software than is listed yet.
+    bool isSoftwareCertain(const Runner& runner, TimePoint now) const;
     /// @brief All runners of a service, including leaving and suspended ones.
     std::span<Runner* const> runnersOf(std::string_view service) const;
     const std::map<std::string, std::unique_ptr<Runner>, std::less<>>& runners() const { return m_runners; }
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -27,6 +27,12 @@
     bool operator==(const RunnerEntry&) const = default;
 };
 
+/// Software of runners that do not state its version.
+constexpr std::uint64_t unknownSoftware = 0;
+
+/// @brief Hash of service and software version, equal on every daemon; unknownSoftware if the entry states no version.
+std::uint64_t softwareOf(const RunnerEntry& entry);
+
 /// @brief Load that a runner reported in a response.
 struct ReportedLoad {
     /// Requests that it runs.
@@ -62,6 +68,8 @@
     RunnerEntry entry;
     /// Hash of id and start time, equal on every daemon.
     std::uint64_t identity = 0;
+    /// Software that it runs, as softwareOf() tells.
+    std::uint64_t software = unknownSoftware;
     /// Requests from this daemon in flight to the runner.
     std::uint32_t ownLoad = 0;
     /// Requests from the other daemons in flight to the runner, as they report them.
@@ -97,6 +105,8 @@
     std::optional<TimePoint> suspendedAt;
     /// Length of the next suspension after a connection failure; doubles each time until the runner serves again.
     Duration nextSuspension {};
+    /// Last time at which no connection to it could be established.
+    std::optional<TimePoint> unconnectedAt;
     /// Set by a suspension and cleared when the runner serves a request; meanwhile it gets one request at a time.
     bool isOnProbation = false;
     /// Last time at which a byte arrived from it, or at which it got a request while it had none in flight.
--- a/tests/proxy/StreamVersionTest.cpp
+++ b/tests/proxy/StreamVersionTest.cpp
@@ -94,3 +94,122 @@
     CHECK(fixture.requestCount() == 1);
     CHECK(fixture.caller->has("HTTP/1.1 503"));
 }
+
+namespace {
+
+/// Other daemons that answer when the test lets them.
+struct OtherDaemons : proxy::OriginDirectory {
+    std::vector<dispatch::StreamOrigin> published;
+    std::vector<std::pair<dispatch::StreamKey, Finder>> questions;
+
+    void publish(std::vector<dispatch::StreamOrigin> origins) override
+    {
+        published.insert(published.end(), origins.begin(), origins.end());
+    }
+    void find(dispatch::StreamKey stream, Finder finder) override { questions.emplace_back(stream, std::move(finder)); }
+};
+
+struct FleetFixture : Fixture {
+    OtherDaemons others;
+
+    FleetFixture() { router.setOriginDirectory(&others); }
+
+    /// Sends a request that continues a stream of another daemon, and waits for the question.
+    void continueForeign(const std::string& headers = {})
+    {
+        caller = connect("POST", "/stream/1", "again", "Last-Event-Id: 2\r\nResumes: first\r\n" + headers);
+        runUntil(context, [&] { return !others.questions.empty(); });
+    }
+    std::uint64_t software(const std::string& version)
+    {
+        auto entry = runnerEntry("r", 1);
+        entry.version = version;
+        return runners::softwareOf(entry);
+    }
+};
+
+}
+
+TEST_CASE("other daemons are told which software began a stream with its first event, and again by a stopping daemon")
+{
+    FleetFixture fixture;
+    fixture.call("POST", "/stream/1");
+    auto& runner = fixture.awaitRequest(1);
+    fixture.others.published.clear();
+    runner.send(streamHead("s-1") + chunk(event(1)));
+    fixture.awaitAnswer("e1\n\n");
+    const auto version = runner.has("X-Expect-Instance: r-1") ? "v1" : "v2";
+    const dispatch::StreamOrigin expected { dispatch::streamKey("works", "id"), fixture.software(version) };
+    CHECK(fixture.others.published == std::vector { expected });
+    runner.send(chunk(event(2)));
+    fixture.awaitAnswer("e2\n\n");
+    CHECK(fixture.others.published.size() == 1);
+    fixture.router.beginStop(daemon::currentTime() + std::chrono::seconds(8));
+    CHECK(fixture.others.published == std::vector { expected, expected });
+}
+
+TEST_CASE("a stream that began at another daemon is continued as that daemon tells")
+{
+    for (const std::string version : { "v1", "v2" }) {
+        FleetFixture fixture;
+        fixture.continueForeign();
+        CHECK(fixture.others.questions.front().first == dispatch::streamKey("works", "first"));
+        CHECK(fixture.requestCount() == 0);
+        fixture.others.questions.front().second(fixture.software(version));
+        auto& runner = fixture.awaitRequest(1);
+        CHECK(runner.has(version == "v1" ? "X-Expect-Instance: r-1" : "X-Expect-Instance: r-2"));
+        CHECK(runner.has("Last-Event-Id: 2"));
+        runner.send(streamHead("s-1") + chunk(event(3)) + "0\r\n\r\n");
+    }
+}
+
+TEST_CASE("a stream whose software no runner runs any more is refused at once, as not run")
+{
+    FleetFixture fixture;
+    fixture.continueForeign();
+    fixture.others.questions.front().second(fixture.software("v0"));
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.requestCount() == 0);
+}
+
+TEST_CASE("a caller that leaves while other daemons are asked leaves nothing behind")
+{
+    FleetFixture fixture;
+    fixture.continueForeign();
+    fixture.caller->close();
+    runUntil(fixture.context, [&] { return fixture.caller->isEnded; });
+    fixture.context.run_for(std::chrono::milliseconds(20));
+    fixture.others.questions.front().second(fixture.software("v1"));
+    fixture.context.run_for(std::chrono::milliseconds(20));
+    CHECK(fixture.requestCount() == 0);
+}
+
+// Guards against streams of two versions, and lost ones, after all daemons were killed at once.
+TEST_CASE("a stream that no daemon knows is continued at the software that has read its prompt")
+{
+    FleetFixture fixture;
+    fixture.continueForeign("X-Prompt-Prefix: 1a:100,2b:50\r\n");
+    fixture.others.questions.front().second(std::nullopt);
+    const auto hasQuery = [](const tests::Listener& listener) {
+        return !listener.peers.empty() && listener.peers.front()->has("GET /kv-list HTTP/1.1");
+    };
+    runUntil(fixture.context, [&] { return hasQuery(fixture.firstRunner) && hasQuery(fixture.secondRunner); });
+    const auto answer = [](tests::Listener& listener, const std::string& held) {
+        const auto body = R"({"epoch":1,"next":2,"held":[)" + held + "]}";
+        listener.peers.front()->send(
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    answer(fixture.firstRunner, R"(["","1a",100,"m"],["",7,1],"x")");
+    answer(fixture.secondRunner, R"(["","1a",100,"m"],["","2b",50,"m"])");
+    CHECK(fixture.awaitRequest(1).has("X-Expect-Instance: r-2"));
+}
+
+TEST_CASE("a stream whose prompt no runner has read, or all do not tell, is refused as not run")
+{
+    FleetFixture fixture;
+    fixture.continueForeign("X-Prompt-Prefix: 1a:100,2b:50\r\n");
+    fixture.others.questions.front().second(std::nullopt);
+    // The runners do not answer the query.
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.requestCount() == 0);
+}
--- a/tests/runners/PlacementTest.cpp
+++ b/tests/runners/PlacementTest.cpp
@@ -187,3 +187,27 @@
     for (const auto& [id, count] : counts)
         CHECK(count == 10);
 }
+
+TEST_CASE("a request that continues a stream is only placed at the software that began it, also as a last resort")
+{
+    Fleet fleet(6);
+    for (int i = 0; i < 6; ++i)
+        fleet.entries[static_cast<std::size_t>(i)].version = i < 2 ? "v2" : "v1";
+    fleet.apply();
+    runners::PlacementRequest request;
+    request.service = "pool";
+    request.affinityKey = 7;
+    request.software = fleet.registry.find("r-0")->software;
+    const auto place = [&](TimePoint now) { return runners::place(fleet.registry, request, {}, now).runner; };
+    REQUIRE(place(start));
+    CHECK(place(start)->entry.version == "v2");
+    fleet.registry.recordObservation(*fleet.registry.find("r-0"), runners::Observation::CannotConnect, start);
+    REQUIRE(place(start));
+    CHECK(place(start)->entry.id == "r-1");
+    // A runner that refused a connection may have restarted with other software.
+    fleet.registry.recordObservation(*fleet.registry.find("r-1"), runners::Observation::CannotConnect, start);
+    CHECK_FALSE(place(start));
+    CHECK(place(start + std::chrono::seconds(4)));
+    request.software = runners::unknownSoftware;
+    CHECK_FALSE(place(start));
+}
