--- a/standins/StandIns.h
+++ b/standins/StandIns.h
@@ -62,6 +62,8 @@
     double runSeconds = 0.01;
     /// Number of events in a stream.
     int events = 40;
+    /// Version of its software, which each event states; empty to state none.
+    std::string version;
     /// File to which each run is appended with the runner and the time, so that the record survives the process;
     /// empty for none.
     std::string runLog;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -62,6 +62,7 @@
         ->capture_default_str();
     runnerCommand->add_option("--events", runner.events, "Number of events in a stream")->capture_default_str();
 
+    runnerCommand->add_option("--version", runner.version, "Software version that each event states");
     runnerCommand->add_option("--run-log", runner.runLog, "File to which each run is appended");
 
     CLI11_PARSE(app, argumentCount, arguments);
--- a/tests/soak/Caller.h
+++ b/tests/soak/Caller.h
@@ -52,6 +52,10 @@
     void checkResponse(const http::MessageHead& head);
     void close();
     std::string expectedBody() const;
+    /// Keeps what arrived whole of a stream that broke off, so that the next request continues it.
+    void keepBrokenStream();
+    /// Headers that say which stream the request continues.
+    std::string continuationHeaders() const;
 
     asio::io_context& m_context;
     Options m_options;
@@ -66,6 +70,10 @@
     std::optional<http::MessageHead> m_head;
     std::string m_target;
     std::string m_body;
+    /// Whole events of the stream that the request continues, and the id of the request that began it.
+    std::string m_begunBody;
+    std::string m_begunBy;
+    std::size_t m_continuations = 0;
     std::size_t m_daemonIndex = 0;
     std::size_t m_sentRequests = 0;
     std::size_t m_requestsOnConnection = 0;
--- a/tests/soak/Installation.h
+++ b/tests/soak/Installation.h
@@ -29,6 +29,8 @@
 
     void startAll();
     void startDaemon(std::size_t daemon);
+    /// Software version of a runner; two versions serve side by side.
+    static std::string versionOf(std::size_t runner);
     void startRunner(std::size_t runner);
     /// @brief Publishes the next revision of the configuration with these API keys.
     /// @return whether the store accepted it
--- a/tests/soak/Record.h
+++ b/tests/soak/Record.h
@@ -20,6 +20,10 @@
     std::string key;
     TimePoint sentAt {};
     TimePoint endedAt {};
+    /// Whether the request continues a stream that broke off.
+    bool isContinuation = false;
+    /// Whether the caller got an event of the stream from it.
+    bool hasEvents = false;
     /// HTTP status; 0 without a complete response.
     std::uint16_t status = 0;
     /// Difference from the response that the runner gives to this request; empty if there is none.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -58,6 +58,14 @@
              << " requests=" << m_observations.records.size() << " runs=" << m_observations.executions.size();
     for (const auto& [status, count] : byStatus)
         m_output << (status == 0 ? " no_answer" : " status_" + std::to_string(status)) << '=' << count;
+    const auto count = [&](auto&& isCounted) {
+        return std::count_if(m_observations.records.begin(), m_observations.records.end(), isCounted);
+    };
+    m_output << " streams="
+             << count([](const Record& record) { return record.kind == RequestKind::Stream && !record.isContinuation; })
+             << " begun=" << count([](const Record& record) { return record.hasEvents && !record.isContinuation; })
+             << " continuations=" << count([](const Record& record) { return record.isContinuation; })
+             << " went_on=" << count([](const Record& record) { return record.isContinuation && record.hasEvents; });
     m_output << " broken=" << m_violations.size() << std::endl;
 }
 
