Log that a daemon is cut off from all runners, and that it reaches them again

The lines named single runners only; whether they had ended or the daemon was cut off could not be told. pathState() takes it from runners that are unreachable while none is heard and other daemons are served by them. Logs and a gauge only; no decision reads it yet. 343 unit tests passed.

--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -372,12 +372,32 @@
 {
     m_crashes.tick(now);
     m_overload.sweep(now);
+    logPath(now);
     if (const auto skipped = m_routineLines.takeSkipped())
         telemetry::logInfo("lines-skipped", { { "plain_requests", skipped } });
     for (auto& [id, pool] : m_pools)
         pool->closeExpired(now);
 }
 
+void Router::logPath(TimePoint now)
+{
+    const auto path = runners::pathState(m_registry, now);
+    m_metrics.setGauge("eelgrassford_path_lost", path.isLost ? 1.0 : 0.0);
+    if (path.isLost == m_pathLostAt.has_value())
+        return;
+    if (path.isLost) {
+        m_pathLostAt = now;
+        telemetry::logWarning("path-lost",
+            { { "unreachable", static_cast<std::uint64_t>(path.unreachable) },
+                { "runners", static_cast<std::uint64_t>(path.runners) }, { "served_for_others", path.servedForOthers },
+                { "silence_ms", toMilliseconds(path.silence) } });
+    } else {
+        telemetry::logInfo("path-regained",
+            { { "after_ms", toMilliseconds(now - *std::exchange(m_pathLostAt, std::nullopt)) },
+                { "unreachable", static_cast<std::uint64_t>(path.unreachable) } });
+    }
+}
+
 void Router::probeSilentRunners()
 {
     for (auto* silent : m_registry.silentRunners()) {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -13,6 +13,7 @@
 #include "proxy/RunnerReport.h"
 #include "proxy/StopAdmission.h"
 #include "routing/RouteTable.h"
+#include "runners/PathLoss.h"
 #include "runners/Placement.h"
 #include "runners/Registry.h"
 #include "runners/VersionHistory.h"
@@ -195,6 +196,8 @@
     std::optional<std::uint64_t> soleSoftware(const routing::Route& route, TimePoint now) const;
     /// The service of a route in which a runner runs the software; empty if there is none.
     std::string destinationOf(const routing::Route& route, std::uint64_t software) const;
+    /// Logs that this daemon is cut off from all runners, and that it reaches one again.
+    void logPath(TimePoint now);
     /// Probes a runner that lost a connection under a request, and records a crash if the runner is dead.
     /// @param suspects the request, and those parts of its prompt that may be the cause
     void probeAfterConnectionLoss(const std::string& runner, std::vector<dispatch::CrashSuspect> suspects);
@@ -241,6 +244,8 @@
     std::map<std::string, std::shared_ptr<RunningSurvey>> m_surveys;
     void startSurvey(const std::string& service, const std::shared_ptr<RunningSurvey>& survey, TimePoint now);
     void finishSurvey(const std::string& service, RunningSurvey& survey);
+    /// Set while this daemon is cut off from all runners.
+    std::optional<TimePoint> m_pathLostAt;
     /// Set once a graceful stop has begun.
     std::optional<StopAdmission> m_stop;
     telemetry::LineBudget m_routineLines;
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -45,6 +45,7 @@
         { "eelgrassford_runners", "Runners of a service by state" },
         { "eelgrassford_limited_runners", "Runners of a service that limit their request rates" },
         { "eelgrassford_store_era", "Era that the store states, which rises when it is restored; 0 without" },
+        { "eelgrassford_path_lost", "1 while this daemon reaches no runner, though they serve other daemons" },
         { "eelgrassford_kept_stream_origins", "Streams whose beginning software this daemon keeps for the fleet" },
         { "eelgrassford_service_under_way",
             "Requests that all daemons have under way at the usable runners of a service" },
