--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -41,6 +41,7 @@
         options.retryBudget.allowance
             = dispatch::WindowedRetryBudget::shareOfAllowance(settings.retryAllowance, daemons);
         options.retryBudget.window = settings.retryWindow;
+        options.callerPort = settings.callerAddress.port;
         options.placement.loadBound = settings.loadBound * placementBoundShare;
         return options;
     }
--- a/src/gateway/Http.h
+++ b/src/gateway/Http.h
@@ -20,6 +20,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    /// IP address of the other end of its connection; empty if that is not known.
+    std::string remoteIp;
 
     std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
     /// @brief Text after the '?' of the target; empty if there is none.
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -284,6 +284,10 @@
         m_isAnswering = true;
         auto request = std::exchange(m_request, {});
         const bool isHead = request.method == headMethod;
+        asio::error_code unknown;
+        const auto remote = m_socket.remote_endpoint(unknown);
+        if (!unknown)
+            request.remoteIp = remote.address().to_string();
         m_shared->handler(std::move(request), std::make_shared<RequestResponder>(shared_from_this(), isHead));
     }
 
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -96,6 +96,9 @@
     virtual tl::expected<RequestMetadata, RequestError> decodeRequest(const gateway::HttpRequest& request) const = 0;
     /// @brief Headers for a runner: the caller's headers without hop-by-hop ones, with @a metadata added.
     virtual gateway::Headers encodeRequest(const gateway::Headers& headers, const ForwardMetadata& metadata) const = 0;
+    /// @brief Headers for another daemon that handles the request instead of this one: the caller's headers without
+    /// hop-by-hop ones, with the time left.
+    virtual gateway::Headers encodePassedOn(const gateway::Headers& headers, Duration timeLeft) const = 0;
     /// @brief Decodes the head of a runner's response.
     virtual ResponseMetadata decodeResponse(const http::MessageHead& head) const = 0;
     /// @brief Headers for the caller: the runner's headers without hop-by-hop ones.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -290,6 +290,7 @@
     for (const auto& ip : otherIps)
         fleet.others.push_back(hash64(ip));
     m_registry.setFleet(std::move(fleet), m_clock());
+    m_otherIps.assign(otherIps.begin(), otherIps.end());
 }
 
 void Router::setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries)
@@ -373,31 +374,16 @@
     m_crashes.tick(now);
     m_overload.sweep(now);
     logPath(now);
+    if (isPathLost())
+        probePath();
+    for (auto& [ip, pool] : m_daemonPools)
+        pool->closeExpired(now);
     if (const auto skipped = m_routineLines.takeSkipped())
         telemetry::logInfo("lines-skipped", { { "plain_requests", skipped } });
     for (auto& [id, pool] : m_pools)
         pool->closeExpired(now);
 }
 
-void Router::logPath(TimePoint now)
-{
-    const auto path = runners::pathState(m_registry, now);
-    m_metrics.setGauge("eelgrassford_path_lost", path.isLost ? 1.0 : 0.0);
-    if (path.isLost == m_pathLostAt.has_value())
-        return;
-    if (path.isLost) {
-        m_pathLostAt = now;
-        telemetry::logWarning("path-lost",
-            { { "unreachable", static_cast<std::uint64_t>(path.unreachable) },
-                { "runners", static_cast<std::uint64_t>(path.runners) }, { "served_for_others", path.servedForOthers },
-                { "silence_ms", toMilliseconds(path.silence) } });
-    } else {
-        telemetry::logInfo("path-regained",
-            { { "after_ms", toMilliseconds(now - *std::exchange(m_pathLostAt, std::nullopt)) },
-                { "unreachable", static_cast<std::uint64_t>(path.unreachable) } });
-    }
-}
-
 void Router::probeSilentRunners()
 {
     for (auto* silent : m_registry.silentRunners()) {
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -57,6 +57,8 @@
     double attemptTimeoutShare = 0.5;
     /// Prompts whose last runner is remembered; each takes about 150 bytes.
     std::size_t promptIndexCapacity = 20000;
+    /// Port on which the other daemons serve callers; 0 to pass no requests on to them.
+    std::uint16_t callerPort = 0;
     /// Log lines per second for requests that the first runner answered with a success; a busy daemon of the target
     /// size serves 76 requests per second.
     std::uint32_t routineLinesPerSecond = 150;
@@ -196,6 +198,20 @@
     std::optional<std::uint64_t> soleSoftware(const routing::Route& route, TimePoint now) const;
     /// The service of a route in which a runner runs the software; empty if there is none.
     std::string destinationOf(const routing::Route& route, std::uint64_t software) const;
+    /// Whether this daemon is cut off from all runners, as of the last sweep.
+    bool isPathLost() const { return m_pathLostAt.has_value(); }
+    /// Another daemon that may handle a request instead of this one; empty if there is none.
+    /// @param excluded daemons that were tried
+    std::string chooseDaemon(std::span<const std::string> excluded, TimePoint now);
+    /// Records that another daemon refused a request because it reaches no runner itself.
+    void recordUnservingDaemon(const std::string& ip, TimePoint now) { m_unservingSince[ip] = now; }
+    /// Body of a refusal because no runner can be used.
+    static constexpr std::string_view noRunnerBody = "no-runner\n";
+    bool isDaemon(std::string_view ip) const;
+    /// Connections to another daemon, as those of a caller.
+    upstream::ConnectionPool& poolOfDaemon(const std::string& ip);
+    /// Tests whether a runner can be reached again.
+    void probePath();
     /// Logs that this daemon is cut off from all runners, and that it reaches one again.
     void logPath(TimePoint now);
     /// Probes a runner that lost a connection under a request, and records a crash if the runner is dead.
@@ -244,6 +260,11 @@
     std::map<std::string, std::shared_ptr<RunningSurvey>> m_surveys;
     void startSurvey(const std::string& service, const std::shared_ptr<RunningSurvey>& survey, TimePoint now);
     void finishSurvey(const std::string& service, RunningSurvey& survey);
+    std::vector<std::string> m_otherIps;
+    std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_daemonPools;
+    /// Daemons that refused a request because they reach no runner, with the time of the last refusal.
+    std::map<std::string, TimePoint> m_unservingSince;
+    bool m_isProbingPath = false;
     /// Set while this daemon is cut off from all runners.
     std::optional<TimePoint> m_pathLostAt;
     /// Set once a graceful stop has begun.
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -16,6 +16,9 @@
     /// Tokens of a cached prefix from which fetching it from another runner costs less than recomputing it.
     constexpr std::uint32_t minTokensToFetch = 1024;
 
+    /// Other daemons that one request is passed on to, one after the other.
+    constexpr int maxDaemonsTried = 4;
+
     /// Largest part of the latency objective for which a request waits until a runner may take it.
     constexpr double maxWaitShare = 0.125;
 
@@ -63,6 +66,14 @@
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
     });
+    if (m_router.isPathLost() && m_router.isDaemon(m_admitted.request.remoteIp)) {
+        execute(RelayStep::RefuseNotRun, "this daemon is cut off from all runners");
+        return;
+    }
+    if (m_router.isPathLost() && tryPassOn()) {
+        armTimer();
+        return;
+    }
     if (m_admitted.route->kind == routing::RequestKind::Stream && m_admitted.metadata.isContinuation)
         continueStream();
     else
@@ -107,20 +118,49 @@
         m_attempt->software = runner->software;
     m_attempt->sentAt = now;
     m_attempt->lastProgressAt = now;
+    startExchange(m_router.poolOf(*runner), encode(*runner, m_placement, now));
+}
+
+void Session::startExchange(upstream::ConnectionPool& pool, std::string bytes)
+{
     upstream::Exchange exchange;
-    exchange.bytes = encode(*runner, m_placement, now);
+    exchange.bytes = std::move(bytes);
     exchange.isBodyless = m_admitted.request.method == "HEAD";
     exchange.isAnswer = [&codec = m_router.m_codec, id = m_admitted.metadata.attemptId](const http::MessageHead& head) {
         const auto metadata = codec.decodeResponse(head);
         return !metadata.attemptId || *metadata.attemptId == id;
     };
     const auto self = shared_from_this();
-    m_attempt->handle = m_router.poolOf(*runner).start(std::move(exchange),
+    m_attempt->handle = pool.start(std::move(exchange),
         { [self](http::MessageHead& head) { self->onHead(head); },
-            [self](std::string_view bytes) { self->onBytes(bytes); },
+            [self](std::string_view received) { self->onBytes(received); },
             [self](const upstream::ExchangeResult& result) { self->onEnded(result); } });
 }
 
+bool Session::tryPassOn()
+{
+    // A daemon that gets a request from another one does not pass it on again.
+    if (m_hasResponseStarted || m_daemonsTried >= maxDaemonsTried || m_router.isDaemon(m_admitted.request.remoteIp))
+        return false;
+    const auto now = m_router.now();
+    const auto ip = m_router.chooseDaemon(m_excludedRunners, now);
+    if (ip.empty())
+        return false;
+    ++m_daemonsTried;
+    m_excludedRunners.push_back(ip);
+    m_plan.beginAttempt();
+    m_lastRunner = ip;
+    m_lastVersion.clear();
+    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
+    m_attempt->runner = ip;
+    m_attempt->isPassedOn = true;
+    m_attempt->sentAt = now;
+    m_attempt->lastProgressAt = now;
+    startExchange(m_router.poolOfDaemon(ip),
+        encode(m_router.m_codec.encodePassedOn(m_admitted.request.headers, m_admitted.deadline - now)));
+    return true;
+}
+
 void Session::onNoRunner(TimePoint now)
 {
     if (tryWaitForRunner(now))
@@ -163,9 +203,14 @@
     if (placement.prefixSource && m_affinity.prefixTokens >= minTokensToFetch)
         metadata.fetchPromptFrom
             = placement.prefixSource->entry.ip + ":" + std::to_string(placement.prefixSource->entry.port);
+    return encode(m_router.m_codec.encodeRequest(m_admitted.request.headers, metadata));
+}
+
+std::string Session::encode(const gateway::Headers& headers) const
+{
     const auto& request = m_admitted.request;
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : m_router.m_codec.encodeRequest(request.headers, metadata))
+    for (const auto& [name, value] : headers)
         text.append(name).append(": ").append(value).append("\r\n");
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
@@ -294,6 +339,16 @@
         return;
     }
     const auto status = attempt.head.status;
+    // The other daemon has decided on attempts and refusals.
+    if (attempt.isPassedOn && status == status::unavailable && attempt.body == Router::noRunnerBody) {
+        m_router.recordUnservingDaemon(attempt.runner, now);
+        fail(AttemptFailure::NeverConnected, Observation::None, "the other daemon reaches no runner either");
+        return;
+    }
+    if (attempt.isPassedOn && !isSuccess(status)) {
+        relayWhole();
+        return;
+    }
     if (isSuccess(status) && (!attempt.metadata.hasDigest || attempt.metadata.isEncoded)) {
         fail(AttemptFailure::Broken, Observation::Failed, "the response is not the runner's own");
         return;
@@ -361,10 +416,15 @@
     const auto runner = m_attempt->runner;
     const auto elapsed = now - m_attempt->sentAt;
     auto suspects = crashSuspects();
+    const bool wasPassedOn = m_attempt->isPassedOn;
+    m_hasFailedToConnect |= failure == AttemptFailure::NeverConnected;
     endAttempt(observation, now);
-    if (observation == Observation::ConnectionLost)
+    if (observation == Observation::ConnectionLost && !wasPassedOn)
         m_router.probeAfterConnectionLoss(runner, std::move(suspects));
-    const auto step = m_plan.fail(failure, m_hasResponseStarted, now, retryBudget(now));
+    auto step = m_plan.fail(failure, m_hasResponseStarted, now, retryBudget(now));
+    // Only the other daemon knows which software began the stream.
+    if (wasPassedOn && m_hasResponseStarted)
+        step = RelayStep::Abort;
     m_router.m_metrics.countAttemptFailure(std::string(dispatch::nameOf(failure)));
     telemetry::logInfo("attempt-failed",
         { { "request", m_admitted.metadata.attemptId }, { "runner", runner }, { "failure", dispatch::nameOf(failure) },
@@ -379,11 +439,16 @@
     case RelayStep::SendAgain:
     case RelayStep::SendRest:
         m_excludedRunners.push_back(m_lastRunner);
-        send();
+        if (!m_router.isPathLost() || !tryPassOn())
+            send();
         if (!m_isFinished)
             armTimer();
         return;
     case RelayStep::RefuseNotRun:
+        if (m_hasFailedToConnect && m_router.now() < m_admitted.deadline && tryPassOn()) {
+            armTimer();
+            return;
+        }
         answerNotRun(detail);
         return;
     case RelayStep::FailUnknown:
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -55,6 +55,8 @@
         std::string runner;
         /// Software of the runner, unknownSoftware if it may have restarted since it was listed.
         std::uint64_t software = runners::unknownSoftware;
+        /// Another daemon handles the request; its address stands in place of the runner.
+        bool isPassedOn = false;
         upstream::ConnectionPool::Handle handle;
         http::MessageHead head;
         ResponseMetadata metadata;
@@ -93,6 +95,13 @@
     void recordOrigin(TimePoint now);
     /// Places the request and sends it to the chosen runner.
     void send();
+    /// Passes the request on to another daemon, which handles it like one of a caller.
+    /// @return whether one was chosen
+    bool tryPassOn();
+    /// Starts an exchange as the current attempt.
+    void startExchange(upstream::ConnectionPool& pool, std::string bytes);
+    /// The request as HTTP/1.1 bytes, with other headers.
+    std::string encode(const gateway::Headers& headers) const;
     /// Decides what follows when no runner can take the request now.
     void onNoRunner(TimePoint now);
     /// Waits for the runner that may take the request first, if that is soon.
@@ -165,6 +174,9 @@
     /// How it is known which software began a stream that the request continues; empty for other requests.
     std::string_view m_originEvidence;
     bool m_isOriginRecorded = false;
+    /// A runner could not be reached, so that another daemon may serve the request.
+    bool m_hasFailedToConnect = false;
+    int m_daemonsTried = 0;
     /// Set while the request waits until a runner may take it: time of the next try, and of the last.
     std::optional<TimePoint> m_nextTryAt;
     std::optional<TimePoint> m_lastTryAt;
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -75,7 +75,7 @@
         { { "request", m_admitted.metadata.attemptId }, { "route", m_admitted.route->name },
             { "revision", m_admitted.routes->revision() }, { "organisation", m_admitted.organisation },
             { "service", m_admitted.service }, { "prompt_tokens", m_admitted.metadata.promptTokens },
-            { "runner", m_lastRunner }, { "version", m_lastVersion },
+            { "runner", m_lastRunner }, { "version", m_lastVersion }, { "daemons_tried", m_daemonsTried },
             { "continues", m_admitted.metadata.continuedAttempt },
             { "after_event", m_admitted.metadata.lastEvent.value_or(0) }, { "origin", m_originEvidence },
             { "software", m_software ? toHex(*m_software) : "" }, { "attempts", m_plan.attempts() },
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -71,7 +71,7 @@
 
 void Session::recordOrigin(TimePoint now)
 {
-    if (std::exchange(m_isOriginRecorded, true))
+    if (m_attempt->isPassedOn || std::exchange(m_isOriginRecorded, true))
         return;
     if (!m_software)
         m_software = m_attempt->software;
@@ -129,7 +129,7 @@
     }
     if (!m_hasResponseStarted)
         startResponse();
-    if (m_affinity.promptHash != 0)
+    if (m_affinity.promptHash != 0 && !m_attempt->isPassedOn)
         m_router.m_promptIndex.recordServed(m_affinity.promptHash, m_attempt->runner);
     endAttempt(Observation::Served, now);
     m_responder->end();
--- a/src/proxy/SessionTimeouts.cpp
+++ b/src/proxy/SessionTimeouts.cpp
@@ -47,6 +47,9 @@
 
 bool Session::shouldTryElsewhere(TimePoint now) const
 {
+    // Only the other daemon can continue a stream that it relays.
+    if (m_attempt && m_attempt->isPassedOn && m_hasResponseStarted)
+        return false;
     const auto timeoutAt = attemptTimeoutAt();
     return timeoutAt && now >= *timeoutAt && m_admitted.deadline - now >= minTimeForAttempt;
 }
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -23,7 +23,7 @@
 
 HttpRequest makeRequest(std::string method, std::string target, std::string body = {})
 {
-    return { std::move(method), std::move(target), { { "eelgrassford-organisation", "yard" } }, std::move(body) };
+    return { std::move(method), std::move(target), { { "eelgrassford-organisation", "yard" } }, std::move(body), {} };
 }
 
 /// Answers each complete request with the next entry of a script. "close" closes the connection instead, and
--- a/tests/proxy/LeavingRunnerTest.cpp
+++ b/tests/proxy/LeavingRunnerTest.cpp
@@ -171,7 +171,7 @@
     runUntil(fixture.context, [&] { return fixture.requestCount() == 1; });
     // Read by the router in one turn: the answer that says so, after the request that needs another connection.
     gateway::HttpRequest request { "GET", "/look/2",
-        { { "Host", "a.example" }, { "X-Attempt-Id", "second" }, { "X-Key", "key" } }, {} };
+        { { "Host", "a.example" }, { "X-Attempt-Id", "second" }, { "X-Key", "key" } }, {}, {} };
     struct Recorder : gateway::Responder {
         std::string body;
         void respond(const gateway::HttpResponse& response) override { body = response.body; }
