--- a/src/runners/VersionHistory.cpp
+++ b/src/runners/VersionHistory.cpp
@@ -15,10 +15,11 @@
         if (isNew)
             service->second.knownSince = now;
     }
-    for (auto& [key, service] : m_services) {
+    for (auto& entry : m_services) {
+        auto& service = entry.second;
         for (const auto version : service.listed)
             service.gone[version] = now;
-        service.listed = listed[key];
+        service.listed = listed[entry.first];
         std::erase_if(service.gone, [&](const auto& version) {
             return service.listed.contains(version.first) || now - version.second > m_options.window;
         });
