Ask no other daemon for a service whose runners have all ended

A daemon that reaches runners, but none of a service, asked up to four others for each request although all had just said that they reach none either. They are asked last, and only while this daemon itself is cut off.

--- a/src/proxy/RouterPath.cpp
+++ b/src/proxy/RouterPath.cpp
@@ -67,7 +67,8 @@
         if (std::find(excluded.begin(), excluded.end(), ip) == excluded.end())
             (m_unservingSince.contains(ip) ? unserving : candidates).push_back(ip);
     }
-    if (candidates.empty())
+    // If this daemon reaches other runners, those of the service have ended, and nobody serves it.
+    if (candidates.empty() && isPathLost())
         candidates = std::move(unserving);
     if (candidates.empty())
         return {};
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -16,9 +16,6 @@
     /// Tokens of a cached prefix from which fetching it from another runner costs less than recomputing it.
     constexpr std::uint32_t minTokensToFetch = 1024;
 
-    /// Other daemons that one request is passed on to, one after the other.
-    constexpr int maxDaemonsTried = 4;
-
     /// Largest part of the latency objective for which a request waits until a runner may take it.
     constexpr double maxWaitShare = 0.125;
 
@@ -137,30 +134,6 @@
             [self](const upstream::ExchangeResult& result) { self->onEnded(result); } });
 }
 
-bool Session::tryPassOn()
-{
-    // A daemon that gets a request from another one does not pass it on again.
-    if (m_hasResponseStarted || m_daemonsTried >= maxDaemonsTried || m_router.isDaemon(m_admitted.request.remoteIp))
-        return false;
-    const auto now = m_router.now();
-    const auto ip = m_router.chooseDaemon(m_excludedRunners, now);
-    if (ip.empty())
-        return false;
-    ++m_daemonsTried;
-    m_excludedRunners.push_back(ip);
-    m_plan.beginAttempt();
-    m_lastRunner = ip;
-    m_lastVersion.clear();
-    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
-    m_attempt->runner = ip;
-    m_attempt->isPassedOn = true;
-    m_attempt->sentAt = now;
-    m_attempt->lastProgressAt = now;
-    startExchange(m_router.poolOfDaemon(ip),
-        encode(m_router.m_codec.encodePassedOn(m_admitted.request.headers, m_admitted.deadline - now)));
-    return true;
-}
-
 void Session::onNoRunner(TimePoint now)
 {
     if (tryWaitForRunner(now))
--- a/tests/proxy/CutOffDaemonTest.cpp
+++ b/tests/proxy/CutOffDaemonTest.cpp
@@ -8,9 +8,12 @@
 /// A daemon that reaches no runner, and another one, known as a member, that reaches one.
 struct Fixture : tests::RouterFixture {
     tests::Listener reachedRunner { context };
+    /// Requests that the other daemon got.
+    int passedOn = 0;
     proxy::Router otherRouter { context, options(), codec, metrics, daemon::currentTime };
     gateway::StreamServer otherServer { context, "127.0.0.2", port, daemon::currentTime,
         [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
+            ++passedOn;
             otherRouter.handle(std::move(request), responder);
         } };
 
@@ -93,3 +96,17 @@
     CHECK(fixture.caller->has("Retry-After"));
     CHECK(fixture.reachedRunner.peers.empty());
 }
+
+TEST_CASE("a service whose runners have all ended is not asked for at other daemons again and again")
+{
+    Fixture fixture;
+    fixture.otherRouter.setRunners(
+        std::vector<runners::RunnerEntry> { Fixture::runnerEntry("r-1", tests::freePort(fixture.context)) });
+    fixture.call("POST", "/look/1");
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.passedOn == 1);
+    // The other daemon has said that it reaches no runner, and this one does not know itself to be cut off.
+    fixture.call("POST", "/look/2");
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.passedOn == 1);
+}
