Let 40 requests, not 12, choose between two equal runners

'a runner that says in any answer that it leaves gets no new request' failed once in some ten runs of the suite, at its precondition that not all of 12 requests go to one of two equal runners. With 40 requests the chance is 1 in 10^12; what the test demands after the statement is unchanged.

--- a/tests/proxy/LeavingRunnerTest.cpp
+++ b/tests/proxy/LeavingRunnerTest.cpp
@@ -94,7 +94,7 @@
     for (const std::string status : { "200 OK", "404 Not Found", "503 Service Unavailable" }) {
         CAPTURE(status);
         Fixture fixture;
-        CHECK(fixture.countAtFirst(12) > 0);
+        CHECK(fixture.countAtFirst(40) > 0);
         fixture.answerAtFirst(leaving + (status[0] == '5' ? "X-Not-Executed: 1\r\n" : ""), status);
         CHECK(fixture.countAtFirst(12) == 0);
         // Silence does not end it.
