Begin attempts in one place, and read a peer's address once a connection

An attempt was begun with the same seven lines for a runner and for another daemon; the address of the other end was asked of the kernel for each request, though a connection keeps it; the sole version was looked up twice for a continued stream; three includes were not needed.

--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -56,6 +56,10 @@
         asio::error_code ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         m_socket.non_blocking(true, ignored);
+        asio::error_code unknown;
+        const auto remote = m_socket.remote_endpoint(unknown);
+        if (!unknown)
+            m_remoteIp = remote.address().to_string();
     }
 
     void start() { read(); }
@@ -284,10 +288,7 @@
         m_isAnswering = true;
         auto request = std::exchange(m_request, {});
         const bool isHead = request.method == headMethod;
-        asio::error_code unknown;
-        const auto remote = m_socket.remote_endpoint(unknown);
-        if (!unknown)
-            request.remoteIp = remote.address().to_string();
+        request.remoteIp = m_remoteIp;
         m_shared->handler(std::move(request), std::make_shared<RequestResponder>(shared_from_this(), isHead));
     }
 
@@ -390,6 +391,8 @@
     }
 
     asio::ip::tcp::socket m_socket;
+    /// Empty if the peer had gone before its address was read.
+    std::string m_remoteIp;
     std::shared_ptr<Shared> m_shared;
     http::MessageParser m_parser;
     HttpRequest m_request;
--- a/src/proxy/CacheSurvey.h
+++ b/src/proxy/CacheSurvey.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "common/Time.h"
 #include "proxy/Codec.h"
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 
 namespace eelgrassford::proxy {
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -105,17 +105,22 @@
         return;
     }
     m_lastTryAt.reset();
-    m_plan.beginAttempt();
+    beginAttempt(runner->entry.id, now);
     m_router.m_registry.recordDispatch(*runner, now);
-    m_lastRunner = runner->entry.id;
     m_lastVersion = runner->entry.version;
-    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
-    m_attempt->runner = runner->entry.id;
     if (m_router.m_registry.isSoftwareCertain(*runner, now))
         m_attempt->software = runner->software;
+    startExchange(m_router.poolOf(*runner), encode(*runner, m_placement, now));
+}
+
+void Session::beginAttempt(const std::string& target, TimePoint now)
+{
+    m_plan.beginAttempt();
+    m_lastRunner = target;
+    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
+    m_attempt->runner = target;
     m_attempt->sentAt = now;
     m_attempt->lastProgressAt = now;
-    startExchange(m_router.poolOf(*runner), encode(*runner, m_placement, now));
 }
 
 void Session::startExchange(upstream::ConnectionPool& pool, std::string bytes)
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -98,6 +98,8 @@
     /// Passes the request on to another daemon, which handles it like one of a caller.
     /// @return whether one was chosen
     bool tryPassOn();
+    /// Begins an attempt at a runner, or at another daemon by its address.
+    void beginAttempt(const std::string& target, TimePoint now);
     /// Starts an exchange as the current attempt.
     void startExchange(upstream::ConnectionPool& pool, std::string bytes);
     /// The request as HTTP/1.1 bytes, with other headers.
--- a/src/proxy/SessionPassOn.cpp
+++ b/src/proxy/SessionPassOn.cpp
@@ -20,14 +20,9 @@
         return false;
     ++m_daemonsTried;
     m_excludedRunners.push_back(ip);
-    m_plan.beginAttempt();
-    m_lastRunner = ip;
+    beginAttempt(ip, now);
     m_lastVersion.clear();
-    m_attempt = std::make_unique<Attempt>(m_inFlight->bufferedResponseBytes);
-    m_attempt->runner = ip;
     m_attempt->isPassedOn = true;
-    m_attempt->sentAt = now;
-    m_attempt->lastProgressAt = now;
     startExchange(m_router.poolOfDaemon(ip),
         encode(m_router.m_codec.encodePassedOn(m_admitted.request.headers, m_admitted.deadline - now)));
     return true;
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -21,8 +21,9 @@
         continueAt(software, "own");
         return;
     }
-    if (attempt.empty() || !m_router.m_directory || m_router.soleSoftware(*m_admitted.route, now)) {
-        continueAt(m_router.soleSoftware(*m_admitted.route, now), "sole-version");
+    const auto sole = m_router.soleSoftware(*m_admitted.route, now);
+    if (sole || attempt.empty() || !m_router.m_directory) {
+        continueAt(sole, "sole-version");
         return;
     }
     m_router.m_directory->find(streamOf(attempt), [self = shared_from_this()](std::optional<std::uint64_t> software) {
--- a/src/runners/VersionHistory.h
+++ b/src/runners/VersionHistory.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassford::runners {
