Take evacuated data centres out of service

Cause: a daemon knew no way to keep requests from a data centre that the operator takes out of service; its runners stayed listed as ready.

The key op/evacuate/ZONE is decoded in the store document codec, collected by the control loop from the mirror, and passed with the runners in one step, so that no request is placed between the two. The exclusion is binding: also a last resort does not override it. Requests that wait for a connection are recalled, caches there are not surveyed, streams in flight and reachability probes go on, and cached prefixes are still fetched from there. Runners that return count as recently added, since their caches are lost, so prefixes are fetched for them. A name without a listed runner is logged once and takes nothing out of service.

Restored store: a copy that lacks the key ends nothing for the 2.5 s in which owners write again; that held already and has a test now. A copy that lists a key that was removed took the data centre out of service again at once, since the value of the key states no order of states. Such a document that equals the removed one is now taken after 2.5 s if it stays listed. The 5 s for entries of runners were ruled out here: an evacuation that the operator meant would have held only after the 5 s within which it must hold. A document that is written anew is taken at once.

Tests: the case of the removed key fails before the change of the mirror and passes after it.

--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -223,8 +223,11 @@
 void ControlLoop::publishRunners()
 {
     std::vector<runners::RunnerEntry> entries;
+    std::set<std::string> evacuated;
     std::map<std::string, store::Revision> unreadable;
     for (const auto& [key, item] : m_mirror.items()) {
+        if (auto dataCentre = m_documents.evacuatedDataCentre(key))
+            evacuated.insert(std::move(*dataCentre));
         if (!m_documents.isRunnerKey(key))
             continue;
         auto entry = m_documents.decodeRunner(key, item.value);
@@ -238,16 +241,19 @@
             telemetry::logWarning("runner-unreadable", { { "key", key }, { "detail", entry.error().what } });
     }
     m_unreadableRunners = std::move(unreadable);
-    if (entries == m_runners)
+    if (entries == m_runners && evacuated == m_evacuated)
         return;
-    const auto leaving
-        = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
-    telemetry::logInfo("runners-changed",
-        { { "before", static_cast<std::uint64_t>(m_runners.size()) },
-            { "runners", static_cast<std::uint64_t>(entries.size()) },
-            { "leaving", static_cast<std::uint64_t>(leaving) } });
+    if (entries != m_runners) {
+        const auto leaving
+            = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
+        telemetry::logInfo("runners-changed",
+            { { "before", static_cast<std::uint64_t>(m_runners.size()) },
+                { "runners", static_cast<std::uint64_t>(entries.size()) },
+                { "leaving", static_cast<std::uint64_t>(leaving) } });
+    }
     m_runners = entries;
-    m_traffic.setRunners(std::move(entries));
+    m_evacuated = evacuated;
+    m_traffic.setRunners(std::move(entries), std::move(evacuated));
 }
 
 void ControlLoop::updateMetrics(TimePoint now)
@@ -323,6 +329,7 @@
         { "ready", isReady() },
         { "configuration_revision", m_configurationRevision },
         { "runners", m_runners.size() },
+        { "evacuated", m_evacuated },
         { "store_queries", m_mirror.queryCount() },
         { "proof_age_seconds", m_provenAt ? toSeconds(now - *m_provenAt) : -1.0 },
     };
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -10,6 +10,7 @@
 #include "store/Mirror.h"
 #include "upstream/CurlClient.h"
 #include <random>
+#include <set>
 
 namespace eelgrassford::edge {
 
@@ -62,6 +63,8 @@
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_configurationItemRevision = 0;
     std::vector<runners::RunnerEntry> m_runners;
+    /// Data centres that are out of service.
+    std::set<std::string> m_evacuated;
     /// Revisions of the entries that cannot be read, by key. Each is logged once.
     std::map<std::string, store::Revision> m_unreadableRunners;
     /// Addresses of the other daemons that the traffic loop was told of.
--- a/src/edge/DocumentCodec.h
+++ b/src/edge/DocumentCodec.h
@@ -21,6 +21,8 @@
     virtual ~DocumentCodec() = default;
     virtual bool isConfigurationKey(std::string_view key) const = 0;
     virtual bool isRunnerKey(std::string_view key) const = 0;
+    /// @brief The data centre that a key takes out of service while the store holds it; empty for other keys.
+    virtual std::optional<std::string> evacuatedDataCentre(std::string_view key) const = 0;
     virtual tl::expected<routing::Configuration, DocumentError> decodeConfiguration(
         std::string_view document) const = 0;
     /// @brief Decodes the entry of a runner.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -76,10 +76,12 @@
     });
 }
 
-void TrafficLoop::setRunners(std::vector<runners::RunnerEntry> entries)
+void TrafficLoop::setRunners(std::vector<runners::RunnerEntry> entries, std::set<std::string> evacuated)
 {
-    asio::post(m_context, [this, entries = std::move(entries)] {
+    // One handler, so that no request is placed between the two.
+    asio::post(m_context, [this, entries = std::move(entries), evacuated = std::move(evacuated)] {
         m_router.setRunners(entries);
+        m_router.setEvacuatedDataCentres(evacuated);
         startServing();
     });
 }
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -5,6 +5,7 @@
 #include "gateway/StreamServer.h"
 #include "proxy/Router.h"
 #include <atomic>
+#include <set>
 
 namespace eelgrassford::edge {
 
@@ -17,7 +18,8 @@
     void run();
     void stop() { m_context.stop(); }
     void setRoutes(std::shared_ptr<const routing::RouteTable> routes);
-    void setRunners(std::vector<runners::RunnerEntry> entries);
+    /// @param evacuated names of the data centres that are out of service
+    void setRunners(std::vector<runners::RunnerEntry> entries, std::set<std::string> evacuated);
     void setSettings(const RelaySettings& settings);
     /// @brief Passes on the time of the newest freshness proof of the configuration.
     void confirmConfiguration(TimePoint provenAt);
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -85,6 +85,9 @@
     void setRoutes(std::shared_ptr<const routing::RouteTable> routes) { m_routes = std::move(routes); }
     /// @brief Replaces the list of runners and closes the connections of removed or restarted ones.
     void setRunners(std::span<const runners::RunnerEntry> entries);
+    /// @brief Replaces the names of the data centres that are out of service. Their runners get no request, and those
+    /// that wait for a connection to them are sent elsewhere.
+    void setEvacuatedDataCentres(const std::set<std::string>& dataCentres);
     /// @brief Extends the credential lease after a freshness proof.
     /// @param confirmedAt time at which the configuration in force was current; ignored if older than an earlier proof
     void confirmConfiguration(TimePoint confirmedAt);
--- a/src/runners/Availability.cpp
+++ b/src/runners/Availability.cpp
@@ -22,6 +22,13 @@
         return Availability { {}, {}, runner.listedLeavingSince };
     }
 
+    std::optional<Availability> findEvacuated(const Runner& runner, const AvailabilityOptions&, TimePoint)
+    {
+        if (!runner.evacuatedSince)
+            return std::nullopt;
+        return Availability { {}, {}, runner.evacuatedSince };
+    }
+
     std::optional<Availability> findPaused(const Runner& runner, const AvailabilityOptions&, TimePoint now)
     {
         if (now >= runner.returnsAt)
@@ -74,6 +81,7 @@
     constexpr std::array rules = {
         Rule { Exclusion::StatedLeaving, "stated-leaving", true, findStatedLeaving },
         Rule { Exclusion::ListedLeaving, "leaving", true, findListedLeaving },
+        Rule { Exclusion::Evacuated, "evacuated", true, findEvacuated },
         Rule { Exclusion::Paused, "paused", true, findPaused },
         Rule { Exclusion::RateLimited, "rate-limited", true, findRateLimited },
         Rule { Exclusion::Suspended, "suspended", false, findSuspended },
--- a/src/runners/Availability.h
+++ b/src/runners/Availability.h
@@ -12,6 +12,8 @@
     StatedLeaving,
     /// The platform lists it as leaving.
     ListedLeaving,
+    /// The operator took its data centre out of service.
+    Evacuated,
     /// It refused a request and asked for a pause, or returns from it.
     Paused,
     /// This daemon's share of the request rate that it accepts is used up.
@@ -27,7 +29,7 @@
 std::string_view nameOf(Exclusion exclusion);
 
 /// Number of exclusions, whose values begin at 0.
-constexpr std::size_t exclusionCount = 7;
+constexpr std::size_t exclusionCount = 8;
 
 /// @brief Whether a runner may get a request, and if not, why and until when.
 struct Availability {
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -3,6 +3,7 @@
 #include "common/Hash.h"
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace eelgrassford::runners {
@@ -70,12 +71,41 @@
             runner->listedLeavingSince.reset();
         else if (!runner->listedLeavingSince)
             runner->listedLeavingSince = now;
+        if (!m_evacuated.contains(entry.dataCentre))
+            runner->evacuatedSince.reset();
+        else if (!runner->evacuatedSince)
+            runner->evacuatedSince = now;
     }
     m_byService.clear();
     for (const auto& [id, runner] : m_runners)
         m_byService[runner->entry.service].push_back(runner.get());
 }
 
+std::vector<Registry::EvacuationChange> Registry::setEvacuated(const std::set<std::string>& dataCentres, TimePoint now)
+{
+    std::vector<EvacuationChange> changes;
+    std::vector<std::string> changed;
+    std::set_symmetric_difference(
+        dataCentres.begin(), dataCentres.end(), m_evacuated.begin(), m_evacuated.end(), std::back_inserter(changed));
+    m_evacuated = dataCentres;
+    for (const auto& dataCentre : changed) {
+        EvacuationChange change { dataCentre, dataCentres.contains(dataCentre), {} };
+        for (const auto& [id, runner] : m_runners) {
+            if (runner->entry.dataCentre != dataCentre)
+                continue;
+            change.runners.push_back(runner.get());
+            if (change.isEvacuated) {
+                runner->evacuatedSince = now;
+                continue;
+            }
+            runner->evacuatedSince.reset();
+            runner->cacheLostAt = now;
+        }
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
 Runner* Registry::find(std::string_view id)
 {
     const auto found = m_runners.find(id);
@@ -96,6 +126,8 @@
 
 bool Registry::isRecentlyAdded(const Runner& runner, TimePoint now) const
 {
+    if (runner.cacheLostAt && now - *runner.cacheLostAt < m_options.recentlyAddedPeriod)
+        return true;
     const bool wasThereBefore
         = !m_firstListedAt || runner.listedSince - *m_firstListedAt < m_options.initialListingPeriod;
     return !wasThereBefore && now - runner.listedSince < m_options.recentlyAddedPeriod;
@@ -321,7 +353,8 @@
     std::size_t suspended = 1;
     std::size_t present = 0;
     for (const auto* other : all) {
-        if (other->isLeaving())
+        // Runners that get no request anyway make no room for further suspensions.
+        if (other->isLeaving() || (other->evacuatedSince && other != &runner))
             continue;
         ++present;
         suspended += other != &runner && now < other->suspendedUntil ? 1 : 0;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -67,6 +68,18 @@
     /// time or software version changed is removed and added anew, without its load and health.
     void apply(std::span<const RunnerEntry> entries, TimePoint now, const RemovalHandler& removed);
 
+    /// @brief A data centre whose evacuation began or ended.
+    struct EvacuationChange {
+        std::string dataCentre;
+        bool isEvacuated = false;
+        /// Its listed runners.
+        std::vector<Runner*> runners;
+    };
+    /// @brief Replaces the names of the data centres that are out of service. Their runners get no request, also those
+    /// that are listed later. They come back without their cached prompts.
+    /// @return what changed
+    std::vector<EvacuationChange> setEvacuated(const std::set<std::string>& dataCentres, TimePoint now);
+
     /// @return the runner, or null if none is listed under this id
     Runner* find(std::string_view id);
     /// @brief Whether a runner can be trusted to run the software that its entry states. One that refused connections
@@ -82,7 +95,8 @@
         return availabilityOf(runner, m_options.availability, now);
     }
     bool isUsable(const Runner& runner, TimePoint now) const { return availability(runner, now).isAvailable(); }
-    /// @brief Whether a runner was listed recently, after the initial listing of this daemon.
+    /// @brief Whether a runner was listed recently, after the initial listing of this daemon, or lost its cached
+    /// prompts otherwise.
     bool isRecentlyAdded(const Runner& runner, TimePoint now) const;
     /// @brief Requests in flight to a runner from all daemons: the sum of the daemons' counts, or the load that the
     /// runner reported where that is higher.
@@ -161,6 +175,7 @@
     /// Times at which runners that are not listed stated that they leave, by their identity.
     std::map<std::uint64_t, TimePoint> m_unlistedLeaving;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
+    std::set<std::string> m_evacuated;
 };
 
 }
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -121,6 +121,10 @@
     std::optional<TimePoint> listedLeavingSince;
     /// Time at which the platform's listing first contained it.
     TimePoint listedSince {};
+    /// Time at which this daemon learnt that its data centre is evacuated; empty while it is in service.
+    std::optional<TimePoint> evacuatedSince;
+    /// Last time at which it is known to have lost its cached prompts without a new listing.
+    std::optional<TimePoint> cacheLostAt;
 
     /// End of the pause that it asked for, when it refused requests, and time of the response that did so last.
     TimePoint pausedUntil {};
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -240,6 +240,14 @@
             doubt(item, now + m_options.confirmationTime);
             return false;
         }
+        // A document without a state of its own, such as a mark of the operator, that equals the one that was removed.
+        if (order == std::partial_ordering::unordered && !isSameEra(item.revision, removed->second.revision)
+            && !removed->second.mayHaveLapsed && item.value == removed->second.value) {
+            removed->second.revision = item.revision;
+            m_changeRevision = std::max(m_changeRevision, item.revision);
+            doubt(item, now + m_options.lapseGrace);
+            return false;
+        }
         m_removals.erase(removed);
     }
     m_lapsed.erase(item.key);
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -46,6 +46,15 @@
     CHECK(result->limits.idleTimeout == std::chrono::seconds(15));
 }
 
+// Guards against an evacuation that is missed because its key, which is no document, looks like any other one.
+TEST_CASE("a key that evacuates a data centre names it; other keys, and one without a name, evacuate none")
+{
+    const platform::StoreDocumentCodec codec;
+    CHECK(codec.evacuatedDataCentre("op/evacuate/tas-1") == "tas-1");
+    for (const char* key : { "op/evacuate/", "op/evacuate", "op/config", "servers/op/evacuate/a" })
+        CHECK_FALSE(codec.evacuatedDataCentre(key));
+}
+
 TEST_CASE("a route of an unknown kind is treated as non-idempotent")
 {
     std::string text = configuration;
--- a/tests/runners/AvailabilityTest.cpp
+++ b/tests/runners/AvailabilityTest.cpp
@@ -78,6 +78,7 @@
 {
     CHECK(nameOf(Exclusion::StatedLeaving) == "stated-leaving");
     CHECK(nameOf(Exclusion::ListedLeaving) == "leaving");
+    CHECK(nameOf(Exclusion::Evacuated) == "evacuated");
     CHECK(nameOf(Exclusion::Paused) == "paused");
     CHECK(nameOf(Exclusion::RateLimited) == "rate-limited");
     CHECK(nameOf(Exclusion::Suspended) == "suspended");
--- a/tests/runners/PlacementTest.cpp
+++ b/tests/runners/PlacementTest.cpp
@@ -146,6 +146,39 @@
     CHECK(young.prefixSource->entry.id == id);
 }
 
+// Guards against requests to a data centre that is out of service, lost caches there, and a second wave of prefills.
+TEST_CASE("runners of an evacuated data centre get nothing but give their cached prefixes, and fetch them afterwards")
+{
+    Fleet fleet(18);
+    std::uint64_t prefix = 1;
+    while (fleet.place(prefix).runner->entry.dataCentre != "b")
+        ++prefix;
+    auto* warm = fleet.place(prefix).runner;
+    REQUIRE(fleet.registry.setEvacuated({ "b" }, start).front().runners.size() == 9);
+    const auto moved = fleet.place(prefix, {}, warm->entry.id);
+    CHECK(moved.runner->entry.dataCentre == "a");
+    CHECK(moved.prefixSource == warm);
+    // A runner that is listed meanwhile is evacuated too, and the evacuation outlasts a new listing.
+    fleet.entries.push_back({ "r-b", "pool", "127.0.0.1", 8000, "b", 64, false, 1, "v1" });
+    fleet.apply();
+    CHECK_FALSE(fleet.registry.isUsable(*fleet.registry.find("r-b"), start));
+    CHECK(fleet.registry.availability(*warm, start).exclusion == runners::Exclusion::Evacuated);
+    // If only they could serve a request, nobody does, also not as a last resort.
+    std::vector<std::string> others;
+    for (const auto& entry : fleet.entries) {
+        if (entry.dataCentre == "a")
+            others.push_back(entry.id);
+    }
+    const auto none = fleet.place(prefix, others);
+    CHECK(none.runner == nullptr);
+    CHECK_FALSE(none.availableAt);
+    CHECK_FALSE(fleet.registry.setEvacuated({}, start).front().isEvacuated);
+    const auto returned = fleet.place(prefix);
+    CHECK(returned.runner == warm);
+    REQUIRE(returned.prefixSource);
+    CHECK(returned.prefixSource->entry.dataCentre == "a");
+}
+
 TEST_CASE("a session returns to the runner that served it last")
 {
     Fleet fleet(18);
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr TimePoint start { std::chrono::seconds(100) };
+/// A key whose presence says everything; its value states no order.
+constexpr std::string_view evacuation = "op/evacuate/a";
+constexpr std::string_view mark = "{ }";
 
 /// A store that can be restored from a copy of its data: its revisions go back, and are given out again.
 class RestorableStore {
@@ -107,7 +110,9 @@
     Mirror createMirror() const
     {
         return { protocol, {}, [] { return 0.5; },
-            [](std::string_view, std::string_view left, std::string_view right) -> std::partial_ordering {
+            [](std::string_view key, std::string_view left, std::string_view right) -> std::partial_ordering {
+                if (key == evacuation)
+                    return std::partial_ordering::unordered;
                 return left.front() <=> right.front();
             } };
     }
@@ -335,3 +340,82 @@
         CHECK(fixture.valueOf("b") == "2-b");
     }
 }
+
+// Guards against requests to an evacuated data centre after the store lost the key, until the operator writes it again.
+TEST_CASE("a restored copy that lacks an evacuation does not end it before the operator can write it again")
+{
+    Fixture fixture;
+    auto follower = fixture.createMirror();
+    follower.setReading(false);
+    const auto runUntil = [&](Duration time) {
+        for (const auto end = fixture.now + time; fixture.now < end;) {
+            fixture.run(milliseconds(100));
+            follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+            follower.dropExpired(fixture.now);
+        }
+    };
+    const std::string key(evacuation);
+    fixture.store.write(key, std::string(mark));
+    runUntil(milliseconds(500));
+    fixture.store.restore();
+    runUntil(milliseconds(2000));
+    CHECK(fixture.valueOf(key) == mark);
+    CHECK(follower.items().contains(key));
+    SUBCASE("written again")
+    {
+        fixture.store.write(key, std::string(mark));
+        runUntil(std::chrono::seconds(10));
+        CHECK(fixture.valueOf(key) == mark);
+        CHECK(follower.items().contains(key));
+        fixture.store.remove(key);
+        runUntil(milliseconds(500));
+        CHECK(fixture.valueOf(key).empty());
+        CHECK_FALSE(follower.items().contains(key));
+    }
+    SUBCASE("not written again")
+    {
+        runUntil(std::chrono::seconds(2));
+        CHECK(fixture.valueOf(key).empty());
+        CHECK_FALSE(follower.items().contains(key));
+    }
+}
+
+// Guards against a data centre that is taken out of service again by an older copy of the store, and against a copy
+// that is never believed: the key holds while the store has it.
+TEST_CASE("an evacuation that was removed is taken from a restored copy only if the operator leaves it there")
+{
+    Fixture fixture;
+    const std::string key(evacuation);
+    fixture.store.write(key, std::string(mark));
+    fixture.store.save();
+    fixture.store.remove(key);
+    fixture.run();
+    REQUIRE(fixture.valueOf(key).empty());
+    auto follower = fixture.createMirror();
+    follower.setReading(false);
+    follower.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+    fixture.store.restore();
+    fixture.run(std::chrono::seconds(2));
+    follower.merge(fixture.mirror.changesSince(follower.completeRevision(), fixture.now), fixture.now);
+    CHECK(fixture.valueOf(key).empty());
+    CHECK_FALSE(follower.items().contains(key));
+    SUBCASE("removed again")
+    {
+        fixture.store.remove(key);
+        fixture.run(std::chrono::seconds(10));
+        CHECK(fixture.valueOf(key).empty());
+    }
+    SUBCASE("left there, it holds within the 5 s of any evacuation")
+    {
+        fixture.run(std::chrono::seconds(2));
+        CHECK(fixture.valueOf(key) == mark);
+        CHECK(follower.dropExpired(fixture.now));
+        CHECK(follower.items().contains(key));
+    }
+    SUBCASE("written anew")
+    {
+        fixture.store.write(key, std::string(mark));
+        fixture.run(milliseconds(500));
+        CHECK(fixture.valueOf(key) == mark);
+    }
+}
