Read load reports with a slowdown, and the figures of engines

Cause: runners that report how long work takes on them now send the load header with four figures. The decoder takes the rest of the text after the second comma for the number of slots, so every such report was discarded as a whole, and placement saw no report of these runners at all. The figures that describe a service's engines (slots, memory in tokens, tokens in an event) were not decoded either.

Ruled out: taking three figures and ignoring the rest, which would also accept headers of five figures or text that nobody defined.

Change: the header is read with three or four figures. The fourth is limited to 50 to 1,000 percent; two or five figures, text and negative values leave the report out as before. An unusable figure of an engine counts as missing and does not hold back the configuration.

The new case of HeaderCodec fails on the old decoder by reading: "3,1,64,250" gives no report there; that run was not made.

--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -62,6 +62,12 @@
     std::string name;
     /// Whether its upstreams are model-serving engines, which cache prompts.
     bool isModel = false;
+    /// Requests that one of its engines runs at once; 0 if not stated.
+    std::uint32_t engineSlots = 0;
+    /// Tokens of prompts and outputs that one of its engines can hold; 0 if not stated.
+    std::uint64_t kvCapacityTokens = 0;
+    /// Output tokens in one event of a stream.
+    std::uint32_t tokensPerEvent = 1;
 };
 
 /// @brief An organisation and the credentials of its callers.
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -4,6 +4,7 @@
 #include "runners/StatedLimit.h"
 #include "runners/TokenBucket.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace eelgrassford::runners {
@@ -41,6 +42,8 @@
     std::uint32_t waiting = 0;
     /// Requests that it can run at once.
     std::uint32_t slots = 0;
+    /// Time that work takes on it now, as a multiple of the usual; empty if it does not report that.
+    std::optional<double> slowdown;
 };
 
 /// @brief Evidence of a runner's health from an attempt or a probe.
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -46,6 +46,32 @@
     CHECK(metadata->prompt[1].tokens == 410);
 }
 
+// Guards against the loss of all load reports of runners that also report their speed, and against placement by reports
+// that no working runner sends.
+TEST_CASE("the load of a runner is read with three figures, or with its slowdown as the fourth")
+{
+    const auto decode = [](const std::string& text) {
+        http::MessageHead head;
+        head.headers = { { "X-Server-Load", text } };
+        return platform::HeaderCodec().decodeResponse(head).load;
+    };
+    const auto usual = decode("3,1,64");
+    REQUIRE(usual);
+    CHECK(usual->waiting == 1);
+    CHECK_FALSE(usual->slowdown);
+    const auto slow = decode("3,1,64,250");
+    REQUIRE(slow);
+    CHECK(slow->slots == 64);
+    CHECK(slow->slowdown == 2.5);
+    CHECK(decode("3,1,64,0")->slowdown == 0.5);
+    CHECK(decode("3,1,64,100000")->slowdown == 10.0);
+    for (const char* text : { "", "3,1", "3,1,64,100,7", "3,1,64,", "3,1,64,fast", "3,1,64,-100", "3,1,64,nan",
+             "3,1,64,inf", "3,1,many,100", "-3,1,64" }) {
+        CAPTURE(text);
+        CHECK_FALSE(decode(text));
+    }
+}
+
 TEST_CASE("a request that continues a stream names the attempt that began it, by exactly one header")
 {
     const auto decode = [](const gateway::Headers& headers) {
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -46,6 +46,26 @@
     CHECK(result->limits.idleTimeout == std::chrono::seconds(15));
 }
 
+// Guards against a configuration that is refused as a whole because of a figure that only placement uses.
+TEST_CASE("the figures of a service's engines are decoded, and unusable ones count as missing")
+{
+    const auto decode = [](const std::string& engine) {
+        std::string text = configuration;
+        const std::string before = R"({"slots":64,"kvCapacityTokens":546534})";
+        text.replace(text.find(before), before.size(), engine);
+        return platform::StoreDocumentCodec().decodeConfiguration(text).value().services[0];
+    };
+    const auto service = decode(R"({"slots":64,"kvCapacityTokens":546534,"stride":16})");
+    CHECK(service.engineSlots == 64);
+    CHECK(service.kvCapacityTokens == 546534);
+    CHECK(service.tokensPerEvent == 16);
+    const auto broken = decode(R"({"slots":-1,"kvCapacityTokens":"many","stride":0})");
+    CHECK(broken.isModel);
+    CHECK(broken.engineSlots == 0);
+    CHECK(broken.kvCapacityTokens == 0);
+    CHECK(broken.tokensPerEvent == 1);
+}
+
 TEST_CASE("a route of an unknown kind is treated as non-idempotent")
 {
     std::string text = configuration;
