Place services by work, within their data centre

Cause: placement counts requests, and one of 40,000 prompt tokens counts as much as one of 130. With tolerated losses of data centres, the order of a shared prefix spans all data centres, so most prompts and their streams cross the links between them.

Ruled out: a second order of the present strategy by data centre alone, which leaves short requests behind long prompts; a report of the runners as the only evidence, since it is 100 to 200 ms old and read by all daemons.

Change: PlacementControl chooses the strategy for each service. A service is placed by work if runners.tolerated_data_centre_losses is above 0 or its runners report their slowdown, and as before otherwise. CostModel learns the cost of requests, also from those that were cut off; RemainingWork sums what is left at each runner; WorkPlacement compares runners in milliseconds, keeps requests in their data centre up to an eighth of the latency objective, and keeps the load bound. Digests carry the remaining work at index 13, summaries at index 15.

Conclusion: the decision is in place; its gain over the present one is not measured yet.

--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -47,6 +47,9 @@
     Duration retryWindow = std::chrono::seconds(10);
     /// Largest permitted load of a runner, as a multiple of the mean load.
     double loadBound = 2.0;
+    /// Data centres that the deployment may lose at once. If there are any, requests stay in the data centre of the
+    /// daemon, where possible.
+    std::uint32_t toleratedDataCentreLosses = 0;
 };
 
 /// @brief A settings file that cannot be used.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -42,7 +42,8 @@
             = dispatch::WindowedRetryBudget::shareOfAllowance(settings.retryAllowance, daemons);
         options.retryBudget.window = settings.retryWindow;
         options.callerPort = settings.callerAddress.port;
-        options.placement.loadBound = settings.loadBound * placementBoundShare;
+        options.placement.bound.loadBound = settings.loadBound * placementBoundShare;
+        options.placement.toleratedDataCentreLosses = settings.toleratedDataCentreLosses;
         return options;
     }
 
--- a/src/fleet/Aggregation.cpp
+++ b/src/fleet/Aggregation.cpp
@@ -19,6 +19,7 @@
             total.servedTenths += part.servedTenths;
             total.failedTenths += part.failedTenths;
             total.suspendedBy += part.suspendedBy;
+            total.remaining += part.remaining;
         }
 
         std::vector<RunnerTotal> take()
@@ -232,6 +233,7 @@
         total->servedTenths = without(total->servedTenths, own.servedTenths);
         total->failedTenths = without(total->failedTenths, own.failedTenths);
         total->suspendedBy = without(total->suspendedBy, own.suspendedMs > 0 ? 1 : 0);
+        total->remaining -= own.remaining;
     }
     return result;
 }
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace eelgrassford::fleet {
 
@@ -135,6 +136,50 @@
         return result;
     }
 
+    /// Units of remaining work in messages, for which most values take one or two bytes.
+    constexpr std::uint32_t prefillUnit = 128;
+    constexpr std::uint32_t outputUnit = 128;
+    constexpr std::uint32_t residentUnit = 512;
+    /// Values for each runner in the flat array of remaining work.
+    constexpr std::size_t remainingFields = 3;
+    /// Largest value of a unit; the sums of many daemons must not overflow.
+    constexpr std::uint32_t maxRemainingUnits = 1u << 13;
+
+    /// Remaining work of the runners in their order; empty if nothing is left at any of them.
+    template <typename Runners> std::vector<std::uint32_t> remainingValues(const Runners& runners)
+    {
+        std::vector<std::uint32_t> values;
+        bool isAnyLeft = false;
+        for (const auto& runner : runners) {
+            const auto& left = runner.remaining;
+            isAnyLeft |= left != RemainingWork {};
+            // Rounded up, so that a little work is not taken for none.
+            for (const auto& [value, unit] : { std::pair(left.prefillTokens, prefillUnit),
+                     std::pair(left.outputMs, outputUnit), std::pair(left.residentTokens, residentUnit) })
+                values.push_back(value / unit + (value % unit == 0 ? 0 : 1));
+        }
+        if (!isAnyLeft)
+            values.clear();
+        return values;
+    }
+
+    /// @param index index of the remaining work, which daemons of earlier releases do not send
+    template <typename Runners> void readRemaining(const json& fields, std::size_t index, Runners& runners)
+    {
+        if (fields.size() <= index)
+            return;
+        const auto values = fields.at(index).get<std::vector<std::uint32_t>>();
+        if (values.size() != runners.size() * remainingFields)
+            return;
+        auto value = values.begin();
+        const auto next = [&](std::uint32_t unit) { return std::min(*value++, maxRemainingUnits) * unit; };
+        for (auto& runner : runners) {
+            runner.remaining.prefillTokens = next(prefillUnit);
+            runner.remaining.outputMs = next(outputUnit);
+            runner.remaining.residentTokens = next(residentUnit);
+        }
+    }
+
     json toJson(const Digest& digest)
     {
         auto runners = json::array();
@@ -143,7 +188,8 @@
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
             runners, requestsToJson(digest.crashes), digest.isLeaving, digest.aggregator,
-            promptPartsToJson(digest.crashes), limitsToJson(digest.statements), leavingToJson(digest.statements) };
+            promptPartsToJson(digest.crashes), limitsToJson(digest.statements), leavingToJson(digest.statements),
+            remainingValues(digest.runners) };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -206,6 +252,7 @@
         if (fields.size() > 9)
             digest.aggregator = fields.at(9).get<std::string>();
         digest.statements = toStatements(fields, 11);
+        readRemaining(fields, 13, digest.runners);
         return digest;
     }
 
@@ -231,6 +278,7 @@
         summary.crashes = toCrashRecords(fields, 10, 12);
         summary.isLeaving = fields.at(11).get<bool>();
         summary.statements = toStatements(fields, 13);
+        readRemaining(fields, 15, summary.runners);
         return summary;
     }
 
@@ -245,6 +293,22 @@
 
 }
 
+RemainingWork& RemainingWork::operator+=(const RemainingWork& other)
+{
+    prefillTokens += other.prefillTokens;
+    outputMs += other.outputMs;
+    residentTokens += other.residentTokens;
+    return *this;
+}
+
+RemainingWork& RemainingWork::operator-=(const RemainingWork& part)
+{
+    prefillTokens -= std::min(prefillTokens, part.prefillTokens);
+    outputMs -= std::min(outputMs, part.outputMs);
+    residentTokens -= std::min(residentTokens, part.residentTokens);
+    return *this;
+}
+
 std::string encodeBody(const Summary& summary)
 {
     std::vector<std::uint32_t> values;
@@ -253,10 +317,11 @@
         values.insert(
             values.end(), { total.runner, total.inFlight, total.servedTenths, total.failedTenths, total.suspendedBy });
     std::string bytes;
-    json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
-                      summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
-                      values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes),
-                      limitsToJson(summary.statements), leavingToJson(summary.statements) },
+    json::to_cbor(
+        json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
+            summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members, values,
+            requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes),
+            limitsToJson(summary.statements), leavingToJson(summary.statements), remainingValues(summary.runners) },
         bytes);
     return bytes;
 }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -16,6 +16,20 @@
 /// Identifies one lifetime of a runner: the lower half of its 64-bit identity hash, to keep digests short.
 using RunnerKey = std::uint32_t;
 
+/// @brief Work that is left at a runner, of the requests of one or several daemons.
+struct RemainingWork {
+    /// Prompt tokens that are not computed yet.
+    std::uint32_t prefillTokens = 0;
+    /// Usual time of the rest of the outputs, in milliseconds.
+    std::uint32_t outputMs = 0;
+    /// Tokens in the runner's memory.
+    std::uint32_t residentTokens = 0;
+    bool operator==(const RemainingWork&) const = default;
+    RemainingWork& operator+=(const RemainingWork& other);
+    /// @brief Subtracts a part; the sum may be older than it, so no figure falls below 0.
+    RemainingWork& operator-=(const RemainingWork& part);
+};
+
 /// @brief State of one runner as seen by one daemon.
 struct RunnerState {
     RunnerKey runner = 0;
@@ -27,6 +41,8 @@
     std::uint32_t failedTenths = 0;
     /// Rest of the time for which the sender suspends the runner, in milliseconds; 0 if it is not suspended.
     std::uint32_t suspendedMs = 0;
+    /// Work that is left of the sender's requests.
+    RemainingWork remaining {};
     bool operator==(const RunnerState&) const = default;
 };
 
@@ -77,6 +93,7 @@
     std::uint32_t failedTenths = 0;
     /// Daemons that suspend the runner now.
     std::uint32_t suspendedBy = 0;
+    RemainingWork remaining {};
     bool operator==(const RunnerTotal&) const = default;
 };
 
--- a/src/fleet/Gossip.cpp
+++ b/src/fleet/Gossip.cpp
@@ -18,6 +18,7 @@
         summary.served += total.servedTenths / tenthsPerRequest;
         summary.failed += total.failedTenths / tenthsPerRequest;
         summary.suspendedBy += total.suspendedBy;
+        summary.remaining += total.remaining;
     }
 
     std::vector<RunnerTotal> toTotals(const std::unordered_map<RunnerKey, RunnerSummary>& sum)
@@ -25,8 +26,8 @@
         std::vector<RunnerTotal> result;
         result.reserve(sum.size());
         for (const auto& [runner, summary] : sum)
-            result.push_back(
-                { runner, summary.inFlight, toTenths(summary.served), toTenths(summary.failed), summary.suspendedBy });
+            result.push_back({ runner, summary.inFlight, toTenths(summary.served), toTenths(summary.failed),
+                summary.suspendedBy, summary.remaining });
         return result;
     }
 
@@ -242,7 +243,8 @@
     if (!m_aggregation.isOwnAggregator())
         return sum;
     for (const auto& state : own)
-        add({ state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs > 0 ? 1u : 0u },
+        add({ state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs > 0 ? 1u : 0u,
+                state.remaining },
             sum);
     return sum;
 }
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -166,6 +166,7 @@
         summary.inFlight += state.inFlight;
         summary.served += state.servedTenths / tenthsPerRequest;
         summary.failed += state.failedTenths / tenthsPerRequest;
+        summary.remaining += state.remaining;
         const auto suspendedUntil = member.heardAt + std::chrono::milliseconds(state.suspendedMs);
         summary.suspendedBy += now < suspendedUntil ? 1 : 0;
     }
--- a/src/fleet/Members.h
+++ b/src/fleet/Members.h
@@ -54,6 +54,8 @@
     double failed = 0.0;
     /// Daemons that suspend the runner now.
     std::uint32_t suspendedBy = 0;
+    /// Work that is left of the requests of the other daemons.
+    RemainingWork remaining {};
 };
 
 /// @brief Gossip membership: the other daemons that this one knows, with the newest digest of each. No I/O.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -70,6 +70,7 @@
     , m_random(std::random_device {}())
     , m_registry(options.registry)
     , m_overload(m_registry)
+    , m_placement(m_registry, options.placement)
     , m_promptIndex(options.promptIndexCapacity)
     , m_versionHistory(options.versionHistory)
     , m_streamOrigins(options.streamOrigins)
@@ -203,6 +204,7 @@
         state.failedTenths = static_cast<std::uint32_t>(failed * tenthsPerRequest);
         if (now < runner->suspendedUntil)
             state.suspendedMs = static_cast<std::uint32_t>(toMilliseconds(runner->suspendedUntil - now));
+        state.remaining = m_placement.remaining(*runner);
         const bool shouldReport = state.inFlight > 0 || state.suspendedMs > 0 || state.failedTenths > 0
             || state.servedTenths >= minServedTenths;
         if (shouldReport)
@@ -295,6 +297,7 @@
 
 void Router::setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries)
 {
+    m_placement.setPeers(summaries);
     for (const auto& [id, runner] : m_registry.runners()) {
         const auto found = summaries.find(static_cast<fleet::RunnerKey>(runner->identity));
         const auto summary = found == summaries.end() ? fleet::RunnerSummary {} : found->second;
@@ -337,6 +340,7 @@
 void Router::setOptions(const RouterOptions& options)
 {
     m_options = options;
+    m_placement.setOptions(options.placement);
     for (auto& [service, budget] : m_budgets)
         budget.setOptions(options.retryBudget);
 }
@@ -373,6 +377,7 @@
 {
     m_crashes.tick(now);
     m_overload.sweep(now);
+    m_placement.sweep(now);
     logPath(now);
     if (isPathLost())
         probePath();
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -9,6 +9,7 @@
 #include "proxy/Codec.h"
 #include "proxy/OriginDirectory.h"
 #include "proxy/OverloadControl.h"
+#include "proxy/PlacementControl.h"
 #include "proxy/PromptIndex.h"
 #include "proxy/RunnerReport.h"
 #include "proxy/StopAdmission.h"
@@ -38,7 +39,7 @@
     /// Largest age of the newest freshness proof of the configuration with which credentials are accepted.
     Duration credentialLease = std::chrono::milliseconds(5000);
     dispatch::WindowedRetryBudget::Options retryBudget;
-    runners::PlacementOptions placement;
+    PlacementControl::Options placement;
     runners::RegistryOptions registry;
     runners::VersionHistoryOptions versionHistory;
     dispatch::StreamOrigins::Options streamOrigins;
@@ -237,6 +238,7 @@
     std::shared_ptr<const routing::RouteTable> m_routes;
     runners::Registry m_registry;
     OverloadControl m_overload;
+    PlacementControl m_placement;
     std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_pools;
     std::map<std::string, dispatch::WindowedRetryBudget> m_budgets;
     /// Connections that were opened to runners that have since been removed, by service.
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -98,7 +98,7 @@
     request.excluded = m_excludedRunners;
     request.software = m_software;
     request.tieBreaker = m_router.draw();
-    m_placement = runners::place(m_router.m_registry, request, m_router.m_options.placement, now);
+    m_placement = m_router.m_placement.place(request, workRequest(), now);
     auto* runner = m_placement.runner;
     if (!runner) {
         onNoRunner(now);
@@ -107,6 +107,7 @@
     m_lastTryAt.reset();
     beginAttempt(runner->entry.id, now);
     m_router.m_registry.recordDispatch(*runner, now);
+    m_attempt->work = m_router.m_placement.begin(request, workRequest(), m_placement, now);
     m_lastVersion = runner->entry.version;
     if (m_router.m_registry.isSoftwareCertain(*runner, now))
         m_attempt->software = runner->software;
@@ -212,8 +213,10 @@
     auto* runner = m_router.m_registry.find(attempt.runner);
     if (runner)
         m_router.m_registry.recordReceived(*runner, attempt.lastProgressAt);
-    if (runner && attempt.metadata.load)
+    if (runner && attempt.metadata.load) {
         m_router.m_registry.recordReportedLoad(*runner, *attempt.metadata.load, attempt.lastProgressAt);
+        m_router.m_placement.recordReport(*runner, *attempt.metadata.load, attempt.lastProgressAt);
+    }
     if (runner && !attempt.metadata.isMisdirected)
         recordStatements(*runner);
     attempt.isStreaming = isStream(head, attempt.metadata);
@@ -375,6 +378,7 @@
     if (!m_attempt)
         return;
     const auto attempt = std::move(m_attempt);
+    m_router.m_placement.end(attempt->work, workRequest(), observation, now);
     if (observation == Observation::Served)
         m_router.m_overload.recordServiceTime(m_admitted.service, m_admitted.route->name, now - attempt->sentAt, now);
     auto* runner = m_router.m_registry.find(attempt->runner);
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -75,6 +75,8 @@
         /// prompt does so as it begins to answer.
         static constexpr std::uint64_t minEventsOfAnswer = 2;
         bool hasBegunAnswer() const { return eventCount >= minEventsOfAnswer; }
+        /// Set if its runner was chosen by work.
+        std::optional<AttemptWork> work;
         TimePoint sentAt {};
         /// Time at which the request was sent, its response began or an event last arrived whole. Other bytes are no
         /// progress: a runner may send some now and then without ever completing an event.
@@ -93,6 +95,8 @@
     void continueAt(std::optional<std::uint64_t> software, std::string_view evidence);
     /// Records which software sends the events that the caller gets.
     void recordOrigin(TimePoint now);
+    /// What the cost of the request depends on.
+    WorkRequest workRequest() const;
     /// Places the request and sends it to the chosen runner.
     void send();
     /// Passes the request on to another daemon, which handles it like one of a caller.
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -70,6 +70,7 @@
     const bool isRoutine = outcome == "answered" && m_plan.attempts() == 1 && !m_admitted.metadata.isContinuation;
     if (isRoutine && !m_router.m_routineLines.tryTake(now))
         return;
+    const auto work = m_placement.work.value_or(runners::PlacementWork {});
     const double firstByte = m_firstByteAt ? toMilliseconds(*m_firstByteAt - m_admitted.arrivedAt) : -1.0;
     telemetry::logInfo("request",
         { { "request", m_admitted.metadata.attemptId }, { "route", m_admitted.route->name },
@@ -82,6 +83,7 @@
             { "prefix", m_affinity.prefixHash == 0 ? "" : toHex(m_affinity.prefixHash) },
             { "placement", runners::nameOf(m_placement.reason) }, { "load", m_placement.load },
             { "bound", m_placement.bound }, { "usable", static_cast<std::uint64_t>(m_placement.usableRunners) },
+            { "cost_ms", work.costMs }, { "remaining_ms", work.remainingMs }, { "slowdown", work.slowdown },
             { "fetched", m_placement.prefixSource != nullptr }, { "status", static_cast<int>(status) },
             { "outcome", outcome }, { "first_byte_ms", firstByte },
             { "ms", toMilliseconds(now - m_admitted.arrivedAt) }, { "detail", detail } });
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -83,6 +83,12 @@
     m_router.recordOrigins(origins, m_admitted.service, now);
 }
 
+WorkRequest Session::workRequest() const
+{
+    return { *m_admitted.route, m_admitted.routes->findService(m_admitted.service), m_admitted.service,
+        m_admitted.organisation, m_admitted.metadata, m_affinity };
+}
+
 bool Session::relayEvents()
 {
     auto& attempt = *m_attempt;
@@ -105,6 +111,7 @@
             m_lastEvent = *event->offset;
         text += event->text;
     }
+    m_router.m_placement.recordEvents(attempt.work, workRequest(), attempt.eventCount, attempt.lastProgressAt);
     if (text.empty())
         return isSound;
     if (!m_hasResponseStarted) {
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -19,11 +19,6 @@
         return std::find(request.excluded.begin(), request.excluded.end(), runner.entry.id) != request.excluded.end();
     }
 
-    bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
-    {
-        return registry.isUsable(runner, now) && !isExcluded(registry, runner, request, now);
-    }
-
     /// Load per slot, with the penalties for distance and failures.
     double penalisedLoad(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
     {
@@ -80,24 +75,26 @@
         result.reason = best.runner ? PlacementReason::LastResort : PlacementReason::None;
     }
 
-    /// Finds the runner that probably has the shared prefix cached: the first in its order that is neither the chosen
-    /// one nor recently added. Runners that are listed as leaving count, as they still serve for a while and keep their
-    /// cache, but not those that state themselves that they leave, or ask for a pause.
-    void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
-    {
-        BestCandidate first;
-        BestCandidate source;
-        for (auto* runner : registry.runnersOf(request.service)) {
-            first.consider(runner, -rendezvousScore(*runner, request), 0);
-            if (runner == result.runner || now < runner->suspendedUntil || runner->statedLeavingAt
-                || now < runner->returnsAt || registry.isRecentlyAdded(*runner, now))
-                continue;
-            source.consider(runner, -rendezvousScore(*runner, request), 0);
-        }
-        if (first.runner != result.runner || registry.isRecentlyAdded(*result.runner, now))
-            result.prefixSource = source.runner;
-    }
+}
+
+bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now)
+{
+    return registry.isUsable(runner, now) && !isExcluded(registry, runner, request, now);
+}
 
+void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
+{
+    BestCandidate first;
+    BestCandidate source;
+    for (auto* runner : registry.runnersOf(request.service)) {
+        first.consider(runner, -rendezvousScore(*runner, request), 0);
+        if (runner == result.runner || now < runner->suspendedUntil || runner->statedLeavingAt
+            || now < runner->returnsAt || registry.isRecentlyAdded(*runner, now))
+            continue;
+        source.consider(runner, -rendezvousScore(*runner, request), 0);
+    }
+    if (first.runner != result.runner || registry.isRecentlyAdded(*result.runner, now))
+        result.prefixSource = source.runner;
 }
 
 std::string_view nameOf(PlacementReason reason)
@@ -113,6 +110,8 @@
         return "least-loaded";
     case PlacementReason::Balanced:
         return "balanced";
+    case PlacementReason::OtherDataCentre:
+        return "other-data-centre";
     case PlacementReason::LastResort:
         return "last-resort";
     case PlacementReason::None:
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -39,6 +39,8 @@
     LeastLoaded,
     /// The least loaded runner, because the request shares no prefix.
     Balanced,
+    /// A runner of another data centre, because a wait in this one costs too much or none there is usable.
+    OtherDataCentre,
     /// The runner whose suspension ends first, because none is usable.
     LastResort,
     /// No runner can take the request.
@@ -47,6 +49,18 @@
 
 std::string_view nameOf(PlacementReason reason);
 
+/// @brief Figures of a runner that was chosen by work.
+struct PlacementWork {
+    /// Cost of the request there, in milliseconds.
+    double costMs = 0.0;
+    /// Work that is left there at the usual speed, in milliseconds.
+    double remainingMs = 0.0;
+    /// Time that work takes there as a multiple of the usual.
+    double slowdown = 1.0;
+    /// Tokens of the request's prompt that it probably lacks.
+    double uncachedTokens = 0.0;
+};
+
 /// @brief A placement with the figures that explain it.
 struct Placement {
     /// The chosen runner; null if none can take the request.
@@ -66,6 +80,8 @@
     std::optional<TimePoint> availableAt;
     /// The exclusion that ends then.
     std::optional<Exclusion> awaited;
+    /// Set if the runner was chosen by work.
+    std::optional<PlacementWork> work;
 };
 
 /// @brief Load bound of placement: a multiple of the mean load plus a constant.
@@ -76,6 +92,14 @@
     double loadMargin = 2.0;
 };
 
+/// @brief Whether a runner can take a request now.
+bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now);
+
+/// @brief Finds the runner that probably has the shared prefix cached: the first in its order that is neither the
+/// chosen one nor recently added. Runners that are listed as leaving count, as they still serve for a while and keep
+/// their cache, but not those that state themselves that they leave, or ask for a pause.
+void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result);
+
 /// @brief Chooses the runner for a request without recording the choice.
 ///
 /// Rendezvous hashing gives a shared prompt prefix the same order of runners on every daemon, so its requests reach a
--- /dev/null
+++ b/src/runners/WorkPlacement.cpp
@@ -0,0 +1,207 @@
+#include "runners/WorkPlacement.h"
+
+#include "common/Hash.h"
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrassford::runners {
+
+void WorkPlacement::recordSent(std::uint64_t affinityKey, const Runner& runner, TimePoint now)
+{
+    if (affinityKey == 0)
+        return;
+    const auto key = mix64(affinityKey, runner.identity);
+    m_copies[key % copySlots] = { key, now };
+}
+
+bool WorkPlacement::hasCopy(std::uint64_t affinityKey, const Runner& runner, TimePoint now) const
+{
+    const auto key = mix64(affinityKey, runner.identity);
+    const auto& copy = m_copies[key % copySlots];
+    return copy.key == key && now - copy.at <= m_options.copyLifetime;
+}
+
+void WorkPlacement::collect(const Registry& registry, const work::RemainingWork& remaining,
+    const PlacementRequest& request, bool keepsDataCentre, TimePoint now)
+{
+    m_candidates.clear();
+    for (auto* runner : registry.runnersOf(request.service)) {
+        if (!canTake(registry, *runner, request, now))
+            continue;
+        Candidate candidate;
+        candidate.runner = runner;
+        candidate.load = registry.load(*runner, now);
+        candidate.view = remaining.view(static_cast<work::RunnerKey>(runner->identity), now);
+        candidate.isLocal = !keepsDataCentre || runner->entry.dataCentre == request.dataCentre;
+        m_candidates.push_back(candidate);
+    }
+}
+
+void WorkPlacement::findWarm(
+    const Registry& registry, const PlacementRequest& request, bool keepsDataCentre, TimePoint now)
+{
+    // Without data centres of their own, all runners share one order.
+    const auto isSameOrder = [&](const Candidate& left, const Candidate& right) {
+        return !keepsDataCentre || left.runner->entry.dataCentre == right.runner->entry.dataCentre;
+    };
+    // Deployments have few data centres.
+    m_orders.clear();
+    for (auto& candidate : m_candidates) {
+        candidate.isWarm = candidate.runner->entry.id == request.previousRunner
+            || hasCopy(request.affinityKey, *candidate.runner, now);
+        const auto order = std::find_if(
+            m_orders.begin(), m_orders.end(), [&](const Order& each) { return isSameOrder(*each.first, candidate); });
+        const auto score = mix64(request.affinityKey, candidate.runner->identity);
+        if (order == m_orders.end())
+            m_orders.push_back({ &candidate, nullptr, score, 0 });
+        else if (score > order->firstScore)
+            *order = { &candidate, order->first, score, order->firstScore };
+        else if (!order->second || score > order->secondScore)
+            *order = { order->first, &candidate, order->firstScore, score };
+    }
+    for (const auto& order : m_orders) {
+        order.first->isWarm |= !registry.isRecentlyAdded(*order.first->runner, now);
+        if (order.second)
+            order.second->isSecond = true;
+    }
+}
+
+double WorkPlacement::uncachedTokens(
+    const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost) const
+{
+    if (request.affinityKey != 0 && candidate.runner->entry.id == request.previousRunner)
+        return 0.0;
+    if (candidate.isWarm)
+        return std::max(0.0, cost.promptTokens - cost.prefixTokens);
+    // Only the second runner is credited with the fetch, so that all daemons bring a hot prefix to the same one.
+    if (candidate.isSecond && cost.prefixTokens >= m_options.minTokensToFetch)
+        return std::max(0.0, cost.promptTokens - cost.prefixTokens * (1.0 - m_options.fetchShare));
+    return cost.promptTokens;
+}
+
+double WorkPlacement::costOf(const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost,
+    const ServiceProfile& profile) const
+{
+    const auto* runner = candidate.runner;
+    const auto load = candidate.load;
+    const auto& view = candidate.view;
+    const auto& rates = profile.rates;
+    const auto slots = std::max<double>(1.0, runner->entry.slots);
+    const auto fill = load / slots;
+    const auto slotWait = std::max(0.0, load + 1.0 - slots) * rates.requestMs / slots;
+    // The runner's own report covers prompts of daemons that are not heard.
+    const auto waiting = std::max(0.0, load - slots) * rates.prefillTokens;
+    const auto pending = std::max(view.left.prefillTokens, waiting) * rates.prefillMsPerToken;
+    const auto prefill = uncachedTokens(candidate, request, cost) * rates.prefillMsPerToken;
+    const auto weight = cost.isStream ? m_options.outputWeight : 1.0;
+    const auto output = weight * cost.outputMs * (1.0 + m_options.batchSlowdown * fill);
+    // Each request there waits while the prompt is computed; a full runner delays as many as it has slots.
+    const auto delayOfOthers = prefill * std::min(1.0, fill);
+    const auto distance = runner->entry.dataCentre == request.dataCentre ? 0.0 : m_options.distanceMs;
+    return (slotWait + pending + prefill + output + delayOfOthers) * view.slowdown + distance
+        + m_options.failureCost * runner->failureRate() * toMilliseconds(cost.latencyObjective);
+}
+
+bool WorkPlacement::hasRoom(
+    const Candidate& candidate, const RequestCost& cost, const ServiceProfile& profile, double bound) const
+{
+    const double slots = candidate.runner->entry.slots;
+    const auto reserved = slots > 1.0 ? std::ceil(slots * m_options.reservedSlots) : 0.0;
+    if (candidate.load + 1.0 > std::min(bound, slots - reserved))
+        return false;
+    return profile.kvCapacityTokens <= 0.0
+        || candidate.view.left.residentTokens + cost.residentTokens <= profile.kvCapacityTokens * m_options.memoryShare;
+}
+
+template <typename Predicate>
+const WorkPlacement::Candidate* WorkPlacement::choose(
+    const PlacementRequest& request, const work::Rates& rates, Predicate isEligible) const
+{
+    const Candidate* best = nullptr;
+    for (const auto& candidate : m_candidates) {
+        if (isEligible(candidate) && (!best || candidate.cost < best->cost))
+            best = &candidate;
+    }
+    if (!best)
+        return nullptr;
+    const auto limit = best->cost * (1.0 + m_options.marginShare) + rates.eventMs * m_options.marginEvents;
+    const Candidate* chosen = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& candidate : m_candidates) {
+        if (!isEligible(candidate) || candidate.cost > limit)
+            continue;
+        const auto draw = mix64(request.tieBreaker, candidate.runner->identity);
+        if (!chosen || draw > highest) {
+            chosen = &candidate;
+            highest = draw;
+        }
+    }
+    return chosen;
+}
+
+Placement WorkPlacement::place(const Registry& registry, const work::RemainingWork& remaining,
+    const PlacementRequest& request, const RequestCost& cost, const ServiceProfile& profile, TimePoint now)
+{
+    collect(registry, remaining, request, profile.keepsDataCentre, now);
+    // The last resort does not depend on work.
+    if (m_candidates.empty())
+        return runners::place(registry, request, m_options.bound, now);
+    Placement result;
+    result.usableRunners = m_candidates.size();
+    double total = 0.0;
+    for (const auto& candidate : m_candidates)
+        total += candidate.load;
+    result.bound
+        = m_options.bound.loadBound * total / static_cast<double>(m_candidates.size()) + m_options.bound.loadMargin;
+    if (request.affinityKey != 0)
+        findWarm(registry, request, profile.keepsDataCentre, now);
+    for (auto& candidate : m_candidates) {
+        candidate.hasRoom = hasRoom(candidate, cost, profile, result.bound);
+        candidate.cost = costOf(candidate, request, cost, profile);
+    }
+    const auto isBelowBound = [&](const Candidate& candidate) { return candidate.load + 1.0 <= result.bound; };
+    const bool isAnyWithRoom
+        = std::any_of(m_candidates.begin(), m_candidates.end(), [](const Candidate& each) { return each.hasRoom; });
+    const auto isEligible = [&](const Candidate& each) { return isAnyWithRoom ? each.hasRoom : isBelowBound(each); };
+    const auto* local
+        = choose(request, profile.rates, [&](const Candidate& each) { return each.isLocal && isEligible(each); });
+    const auto* remote
+        = choose(request, profile.rates, [&](const Candidate& each) { return !each.isLocal && isEligible(each); });
+    const auto* chosen = local ? local : remote;
+    if (local && remote) {
+        const auto found = m_leavingUntil.find(request.service);
+        const bool hasLeft = found != m_leavingUntil.end() && now < found->second;
+        const auto objective = toMilliseconds(cost.latencyObjective);
+        const auto gain = local->cost - remote->cost;
+        if (gain > objective * (hasLeft ? m_options.leftShare : m_options.leavingShare)) {
+            chosen = remote;
+            if (gain > objective * m_options.leavingShare)
+                m_leavingUntil.insert_or_assign(std::string(request.service), now + m_options.leavingHold);
+        }
+    }
+    if (!chosen)
+        return runners::place(registry, request, m_options.bound, now);
+    result.runner = chosen->runner;
+    result.load = chosen->load;
+    const auto& left = chosen->view.left;
+    result.work = PlacementWork { chosen->cost, left.prefillTokens * profile.rates.prefillMsPerToken + left.outputMs,
+        chosen->view.slowdown, uncachedTokens(*chosen, request, cost) };
+    if (!chosen->isLocal)
+        result.reason = PlacementReason::OtherDataCentre;
+    else if (request.affinityKey == 0)
+        result.reason = PlacementReason::Balanced;
+    else if (chosen->runner->entry.id == request.previousRunner)
+        result.reason = PlacementReason::Returning;
+    else
+        result.reason = chosen->isWarm ? PlacementReason::Warm : PlacementReason::Spilled;
+    // A runner to which this daemon sent the prefix has fetched or computed it.
+    if (request.affinityKey != 0 && !hasCopy(request.affinityKey, *chosen->runner, now))
+        findPrefixSource(registry, request, now, result);
+    for (const auto& order : m_orders) {
+        if (request.affinityKey != 0 && order.first->isLocal)
+            result.firstChoice = order.first->runner;
+    }
+    return result;
+}
+
+}
--- a/tests/edge/RelaySettingsTest.cpp
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -46,6 +46,16 @@
     CHECK(changed->configurationDeadline == std::chrono::seconds(4));
 }
 
+TEST_CASE("no loss of a data centre is tolerated unless the settings say so")
+{
+    CHECK(edge::parseRelaySettings(settings)->toleratedDataCentreLosses == 0);
+    const auto withLosses = [](const std::string& value) {
+        return settings + "[runners]\ntolerated_data_centre_losses = " + value + "\n";
+    };
+    CHECK(edge::parseRelaySettings(withLosses("1"))->toleratedDataCentreLosses == 1);
+    CHECK_FALSE(edge::parseRelaySettings(withLosses("-1")));
+}
+
 TEST_CASE("an invalid setting is refused with its name, its value and what is allowed")
 {
     const auto address = edge::parseRelaySettings(withReplaced("10.0.0.1:80", "nowhere"));
