Aggregate load from 32 hosts on where data centres may be lost

Cause: below 96 hosts each daemon sends digests to each other one. With 60 hosts in 3 data centres that is some 120 datagrams a second and daemon, two thirds of them to other data centres, where traffic is expensive. Aggregation is used from a smaller fleet on if the settings say that data centres may be lost; other deployments are unchanged.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -36,6 +36,20 @@
         return result;
     }
 
+    /// Digests from each daemon to each grow with the square of the fleet, and most of them cross data centres. Where data
+    /// centres may be lost, the connections between them are kept free from a smaller fleet on.
+    fleet::Gossip::Options gossipOptions(const RelaySettings& settings)
+    {
+        constexpr std::size_t startSizeAcrossDataCentres = 32;
+        constexpr std::size_t endSizeAcrossDataCentres = 24;
+        fleet::Gossip::Options options;
+        if (settings.toleratedDataCentreLosses > 0) {
+            options.aggregation.startSize = startSizeAcrossDataCentres;
+            options.aggregation.endSize = endSizeAcrossDataCentres;
+        }
+        return options;
+    }
+
     gateway::HttpServer::Options serverOptions(const RelaySettings& settings)
     {
         gateway::HttpServer::Options options;
@@ -53,7 +67,7 @@
     , m_mirror(mirror)
     , m_client(client)
     , m_events(std::move(events))
-    , m_gossip({ settings.ip, settings.region, incarnation }, {}, std::move(random))
+    , m_gossip({ settings.ip, settings.region, incarnation }, gossipOptions(settings), std::move(random))
     , m_readerElection(
           settings.ip, incarnation, fleet::ReaderElection::Options::forDeadline(settings.configurationDeadline))
     , m_directory(settings.ip, incarnation, {})
