Bound the memory and descriptors held for callers

Cause: nothing limited what all callers hold together. Bodies were kept in strings that double, a relayed request held its body twice (for the caller and for the runner), a response three times, and glibc kept large buffers after they were freed.

Change: gateway/CallerBudget accounts for the capacity of buffers and decides who is rejected; StreamServer carries it out before it reads more (503 or 408 while a request is read, else a close). edge/HostLimits derives the budgets from control group, physical memory, RLIMIT_NOFILE and the settings. Buffers grow by a quarter, a body is sent to runners from where it was received, responses are passed on without a copy, and large buffers are mapped on their own.

--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -1,6 +1,7 @@
 #include "edge/Relay.h"
 
 #include "edge/ControlLoop.h"
+#include "edge/HostLimits.h"
 #include "edge/TrafficLoop.h"
 #include "telemetry/DecisionLog.h"
 #include <iostream>
@@ -22,6 +23,7 @@
         std::cerr << "eelgrassfordd: " << settings.error().message() << "\n";
         return settingsErrorExitCode;
     }
+    limitRetainedMemory();
     telemetry::startBoundedLogging(logLevel);
     try {
         telemetry::Metrics metrics;
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -55,6 +55,15 @@
             return *value;
         }
 
+        std::optional<double> optionalNumber(std::string_view path, double minimum, double maximum)
+        {
+            // Platforms state 0 for a limit that a host does not have.
+            const auto value = m_document.at_path(path).value<double>();
+            if (!m_document.at_path(path) || value == 0.0)
+                return std::nullopt;
+            return number(path, minimum, minimum, maximum);
+        }
+
         std::vector<std::string> texts(std::string_view path)
         {
             std::vector<std::string> result;
@@ -90,6 +99,13 @@
 
     constexpr double maxSeconds = 86400.0;
     constexpr double maxMilliseconds = maxSeconds * 1000.0;
+    /// The process itself takes about 13 MB.
+    constexpr double minMemoryMegabytes = 16.0;
+    constexpr double maxMemoryMegabytes = 1e7;
+    constexpr double minDescriptors = 64.0;
+    constexpr double maxDescriptors = 1e7;
+    /// Above it the callers of a small host could not all upload over its link.
+    constexpr double maxMinTransferRate = 400.0;
 
     Duration milliseconds(double value) { return fromSeconds(value / 1000.0); }
 
@@ -131,6 +147,11 @@
     settings.retryWindow
         = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, maxSeconds));
     settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
+    settings.limits.memoryMegabytes
+        = reader.optionalNumber("memory.limit_megabytes", minMemoryMegabytes, maxMemoryMegabytes);
+    settings.limits.descriptors = reader.optionalNumber("memory.max_descriptors", minDescriptors, maxDescriptors);
+    settings.limits.minBytesPerSecond
+        = reader.number("memory.min_bytes_per_second", settings.limits.minBytesPerSecond, 0, maxMinTransferRate);
     if (!reader.errors().empty())
         return tl::unexpected(SettingsError { reader.errors() });
     return settings;
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "common/Address.h"
 #include "common/Time.h"
+#include "edge/HostLimits.h"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +48,8 @@
     Duration retryWindow = std::chrono::seconds(10);
     /// Largest permitted load of a runner, as a multiple of the mean load.
     double loadBound = 2.0;
+    /// Memory and descriptors of this process.
+    LimitSettings limits;
 };
 
 /// @brief A settings file that cannot be used.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -31,6 +31,16 @@
     /// Largest age of a freshness proof as a share of the revocation deadline; the rest covers a watch that reports a
     /// change late.
     constexpr double leaseShare = 0.8;
+    /// Part of the budget for callers that responses may take while they are incomplete.
+    constexpr std::size_t responsePart = 2;
+    /// Bytes held for callers that must have been freed before the allocator is asked to return them, which takes some
+    /// milliseconds.
+    constexpr std::size_t returnedBytes = 4u << 20;
+
+    gateway::CallerBudgetOptions callerBudgetOf(const RelaySettings& settings)
+    {
+        return callerBudget(hostLimits(settings.limits), settings.limits.minBytesPerSecond);
+    }
 
     proxy::RouterOptions routerOptions(const RelaySettings& settings, std::size_t daemons)
     {
@@ -43,6 +53,8 @@
         options.retryBudget.window = settings.retryWindow;
         options.callerPort = settings.callerAddress.port;
         options.placement.loadBound = settings.loadBound * placementBoundShare;
+        options.responseBufferLimit
+            = std::min(options.responseBufferLimit, callerBudgetOf(settings).bytes / responsePart);
         return options;
     }
 
@@ -56,8 +68,10 @@
           [this](gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder) {
               m_router.handle(std::move(request), responder);
           })
+    , m_metrics(metrics)
     , m_lastTick(currentTime())
 {
+    applyCallerBudget();
 }
 
 void TrafficLoop::run()
@@ -95,10 +109,45 @@
 {
     asio::post(m_context, [this, settings] {
         m_settings = settings;
+        applyCallerBudget();
         m_router.setOptions(routerOptions(settings, m_daemons));
     });
 }
 
+void TrafficLoop::applyCallerBudget()
+{
+    const auto budget = callerBudgetOf(m_settings);
+    m_server.setBudget(budget);
+    telemetry::logInfo("caller-budget",
+        { { "bytes", static_cast<std::uint64_t>(budget.bytes) },
+            { "descriptors", static_cast<std::uint64_t>(budget.descriptors) },
+            { "min_bytes_per_second", budget.minBytesPerSecond } });
+}
+
+void TrafficLoop::updateCallerMetrics()
+{
+    using gateway::CallerRejection;
+    const auto& budget = m_server.budget();
+    m_metrics.setGauge("eelgrassford_caller_bytes", static_cast<double>(budget.heldBytes()));
+    m_metrics.setGauge("eelgrassford_caller_bytes_budget", static_cast<double>(budget.options().bytes));
+    m_metrics.setGauge("eelgrassford_caller_connections", static_cast<double>(budget.connections()));
+    m_metrics.setGauge("eelgrassford_caller_descriptors", static_cast<double>(budget.descriptors()));
+    m_metrics.setGauge("eelgrassford_caller_descriptors_budget", static_cast<double>(budget.options().descriptors));
+    for (const auto reason : { CallerRejection::Memory, CallerRejection::Descriptors, CallerRejection::Slow })
+        m_metrics.setTotal("eelgrassford_callers_rejected_total", static_cast<double>(budget.rejections(reason)),
+            { { "reason", std::string(nameOf(reason)) } });
+}
+
+void TrafficLoop::returnMemory()
+{
+    const auto held = m_server.budget().heldBytes();
+    m_mostHeldBytes = std::max(m_mostHeldBytes, held);
+    if (m_mostHeldBytes - held < returnedBytes)
+        return;
+    m_mostHeldBytes = held;
+    returnFreeMemory();
+}
+
 void TrafficLoop::confirmConfiguration(TimePoint provenAt)
 {
     asio::post(m_context, [this, provenAt] { m_router.confirmConfiguration(provenAt); });
@@ -153,11 +202,13 @@
         startServing();
         m_server.enforceTimeouts(now);
         m_router.sweep(now);
+        returnMemory();
     }
     m_router.probeSilentRunners();
     if (now >= m_nextMetricsAt) {
         m_nextMetricsAt = now + metricsInterval;
         m_router.updateMetrics(now);
+        updateCallerMetrics();
         m_router.logLimitUse();
     }
     if (m_reportListener)
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -44,6 +44,10 @@
 
 private:
     void startServing();
+    void applyCallerBudget();
+    void updateCallerMetrics();
+    /// Returns memory to the system after much of what was held for callers was freed.
+    void returnMemory();
     void tick(TimePoint now);
     void tickStop(TimePoint now);
 
@@ -55,6 +59,9 @@
     proxy::Router m_router;
     gateway::StreamServer m_server;
     ReportListener m_reportListener;
+    telemetry::Metrics& m_metrics;
+    /// Most bytes held for callers since memory was last returned.
+    std::size_t m_mostHeldBytes = 0;
     TimePoint m_startedAt {};
     TimePoint m_lastTick {};
     TimePoint m_nextSweepAt {};
--- a/src/gateway/Http.h
+++ b/src/gateway/Http.h
@@ -56,6 +56,8 @@
     /// @brief Sets a handler that is called at most once, when the caller is found to have disconnected. It is not
     /// called from within a function of the responder.
     virtual void onCallerDisconnected(std::function<void()> handler) = 0;
+    /// @brief States the bytes of the response that the handler holds back, until the response ends.
+    virtual void holdBytes(std::size_t /*bytes*/) { }
 };
 
 /// @brief Called for each request; answers through the responder, at once or later.
--- a/src/gateway/ResponseEncoding.cpp
+++ b/src/gateway/ResponseEncoding.cpp
@@ -32,9 +32,16 @@
 {
     if (isBodyless(response.status))
         return encodeHead(response.status, response.headers, "", isClosing);
+    auto text = encodeWholeHead(response, isClosing);
+    if (!isHead)
+        text += response.body;
+    return text;
+}
+
+std::string encodeWholeHead(const HttpResponse& response, bool isClosing)
+{
     const auto length = "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    const auto head = encodeHead(response.status, response.headers, length, isClosing);
-    return isHead ? head : head + response.body;
+    return encodeHead(response.status, response.headers, length, isClosing);
 }
 
 std::string encodeChunkHeader(std::size_t size)
--- a/src/gateway/ResponseEncoding.h
+++ b/src/gateway/ResponseEncoding.h
@@ -12,6 +12,8 @@
 std::string encodeHead(std::uint16_t status, const Headers& headers, std::string_view framingHeader, bool isClosing);
 /// @brief A complete response; without its body if it answers a HEAD request.
 std::string encodeWhole(const HttpResponse& response, bool isHead, bool isClosing);
+/// @brief Start line and headers of a complete response with a body.
+std::string encodeWholeHead(const HttpResponse& response, bool isClosing);
 /// @brief The line before a chunk of a body.
 std::string encodeChunkHeader(std::size_t size);
 
--- a/src/gateway/StreamServer.cpp
+++ b/src/gateway/StreamServer.cpp
@@ -1,11 +1,14 @@
 #include "gateway/StreamServer.h"
 
+#include "common/Buffer.h"
 #include "common/ScopeExit.h"
 #include "gateway/Problem.h"
 #include "gateway/ResponseEncoding.h"
 #include "http/MessageParser.h"
 #include "telemetry/DecisionLog.h"
+#include "telemetry/LineBudget.h"
 #include <array>
+#include <map>
 #include <optional>
 
 namespace eelgrassford::gateway {
@@ -13,12 +16,24 @@
 using detail::encodeChunkHeader;
 using detail::encodeHead;
 using detail::encodeWhole;
+using detail::encodeWholeHead;
 using detail::isBodyless;
 
 namespace {
 
     /// Bytes of pipelined requests that are buffered while one is answered.
     constexpr std::size_t readAheadLimit = 65536;
+    /// The same while the budget for callers is short. Some input is always read, since the end of the connection
+    /// shows only then.
+    constexpr std::size_t shortReadAheadLimit = 4096;
+    /// Memory of a header line besides its text.
+    constexpr std::size_t headerLineBytes = sizeof(Headers::value_type);
+    /// Copies of the headers while a request is relayed: as received, decoded, and as sent to a runner.
+    constexpr std::size_t headerCopies = 3;
+    /// Log lines a second about rejected callers.
+    constexpr std::uint32_t rejectionLinesPerSecond = 10;
+    /// Retry-After of a request that was refused for want of memory or descriptors.
+    constexpr auto retryAfterRejection = std::chrono::seconds(1);
     /// Unsent bytes above which the connection of a caller that does not read is closed.
     constexpr std::size_t writeBacklogLimit = 2u << 20;
     /// Bytes that are read from the socket at once.
@@ -35,12 +50,17 @@
 }
 
 struct StreamServer::Shared {
+    /// Rejects callers until the budget suffices. Must not be called from within a connection that parses or sends.
+    void rejectExcess();
+
     Clock clock;
     Handler handler;
     CallerLimits limits;
     bool isClosing = false;
     TimePoint lastAcceptedAt {};
-    std::list<std::weak_ptr<Connection>> connections;
+    CallerBudget budget;
+    telemetry::LineBudget rejectionLines { rejectionLinesPerSecond };
+    std::map<CallerBudget::Key, std::weak_ptr<Connection>> connections;
 };
 
 class StreamServer::Connection : public std::enable_shared_from_this<Connection> {
@@ -60,13 +80,27 @@
         const auto remote = m_socket.remote_endpoint(unknown);
         if (!unknown)
             m_remoteIp = remote.address().to_string();
+        m_key = m_shared->budget.join(m_remoteIp, m_waitingSince);
     }
 
+    ~Connection() { m_shared->budget.leave(m_key); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    CallerBudget::Key key() const { return m_key; }
+
     void start() { read(); }
 
     void enforceTimeouts(TimePoint now)
     {
-        if (m_isClosed || m_isAnswering)
+        if (m_isClosed)
+            return;
+        if (m_shared->budget.isTooSlow(m_key, now)) {
+            m_shared->budget.countRejection(CallerRejection::Slow);
+            rejectFor(CallerRejection::Slow, now);
+            return;
+        }
+        if (m_isAnswering)
             return;
         const auto& limits = m_shared->limits;
         if (m_isDiscarding) {
@@ -80,6 +114,32 @@
             close();
     }
 
+    /// Refuses the request that is being read, or closes the connection.
+    void rejectFor(CallerRejection reason, TimePoint now)
+    {
+        if (m_isClosed)
+            return;
+        const auto phase = currentPhase();
+        if (m_shared->rejectionLines.tryTake(now))
+            telemetry::logWarning("caller-rejected",
+                { { "reason", nameOf(reason) }, { "address", m_remoteIp }, { "phase", nameOf(phase) },
+                    { "bytes", static_cast<std::uint64_t>(heldBytes()) },
+                    { "held", static_cast<std::uint64_t>(m_shared->budget.heldBytes()) },
+                    { "connections", static_cast<std::uint64_t>(m_shared->budget.connections()) },
+                    { "skipped", m_shared->rejectionLines.takeSkipped() } });
+        // What follows an unsent response could not reach the caller.
+        if (phase != CallerPhase::Reading) {
+            close();
+            return;
+        }
+        if (reason == CallerRejection::Slow)
+            reject({ 408, ProblemCode::MalformedRequest, "the body took too long", ProblemOutcome::NotRun, {} });
+        else
+            reject({ 503, ProblemCode::Overloaded, "the memory for callers is used up", ProblemOutcome::NotRun,
+                retryAfterRejection });
+        m_parser.releaseHead();
+    }
+
     bool isOpen() const { return !m_isClosed; }
     bool isBusy() const { return m_isAnswering || m_parser.isInMessage() || !m_input.empty() || !m_output.empty(); }
 
@@ -111,7 +171,11 @@
         {
             if (!m_connection)
                 return;
-            m_connection->send(encodeWhole(response, m_isHead, m_connection->isLast()));
+            const bool isLast = m_connection->isLast();
+            if (m_isHead || isBodyless(response.status))
+                m_connection->send(encodeWhole(response, m_isHead, isLast));
+            else
+                m_connection->send(encodeWholeHead(response, isLast), response.body);
             finish();
         }
 
@@ -153,6 +217,14 @@
                 m_connection->m_disconnectHandler = std::move(handler);
         }
 
+        void holdBytes(std::size_t bytes) override
+        {
+            if (!m_connection)
+                return;
+            m_connection->m_responseBytes = bytes;
+            m_connection->account();
+        }
+
     private:
         void finish()
         {
@@ -173,9 +245,30 @@
         return m_isLast;
     }
 
+    CallerPhase currentPhase() const
+    {
+        if (!m_output.empty())
+            return CallerPhase::Sending;
+        if (m_isAnswering)
+            return CallerPhase::Running;
+        const bool isReading = !m_isDiscarding && (m_parser.isInMessage() || !m_input.empty());
+        return isReading ? CallerPhase::Reading : CallerPhase::Idle;
+    }
+
+    std::size_t heldBytes() const
+    {
+        return m_input.capacity() + m_output.capacity() + m_request.body.capacity() + m_headBytes + m_parser.heldBytes()
+            + m_runningBytes + m_responseBytes;
+    }
+
+    /// Tells the budget what the connection holds.
+    void account() { m_shared->budget.update(m_key, heldBytes(), currentPhase(), m_shared->clock()); }
+
+    std::size_t inputLimit() const { return m_shared->budget.isShort() ? shortReadAheadLimit : readAheadLimit; }
+
     void read()
     {
-        if (m_isReadPending || m_isClosed || m_input.size() >= readAheadLimit)
+        if (m_isReadPending || m_isClosed || m_input.size() >= inputLimit())
             return;
         m_isReadPending = true;
         m_socket.async_wait(
@@ -190,11 +283,15 @@
 
     void receive()
     {
-        if (m_isClosed)
+        m_shared->rejectExcess();
+        const auto limit = inputLimit();
+        if (m_isClosed || m_input.size() >= limit)
             return;
         std::array<char, readSize> buffer;
         asio::error_code error;
-        const auto size = m_socket.read_some(asio::buffer(buffer), error);
+        // Only what is read while a request is answered stays in the input.
+        const auto wanted = m_isAnswering ? std::min(readSize, limit - m_input.size()) : readSize;
+        const auto size = m_socket.read_some(asio::buffer(buffer.data(), wanted), error);
         if (error == asio::error::would_block) {
             read();
             return;
@@ -207,7 +304,9 @@
             read();
             return;
         }
-        m_input.append(buffer.data(), size);
+        appendSteadily(m_input, { buffer.data(), size });
+        if (!m_isAnswering)
+            m_shared->budget.recordProgress(m_key, size, m_shared->clock());
         onInput();
     }
 
@@ -217,6 +316,7 @@
         if (!m_parser.isInMessage() || m_hasHead)
             m_waitingSince = m_shared->clock();
         parse();
+        account();
         read();
     }
 
@@ -231,6 +331,7 @@
             if (requests == requestsPerTurn) {
                 asio::post(m_socket.get_executor(), [self = shared_from_this()] {
                     self->parse();
+                    self->account();
                     self->read();
                 });
                 return;
@@ -244,7 +345,7 @@
                                                    ProblemOutcome::NotRun, {} });
                 return;
             }
-            m_input.erase(0, *used);
+            removeFront(m_input, *used);
             if (m_isBodyTooLarge) {
                 reject({ 413, ProblemCode::BodyTooLarge,
                     "the body is larger than " + std::to_string(m_shared->limits.bodyBytes) + " bytes",
@@ -263,7 +364,8 @@
         m_hasHead = true;
         m_isKeepAlive = head.isKeepAlive;
         const auto length = head.header("Content-Length");
-        if (length && std::strtoull(std::string(*length).c_str(), nullptr, 10) > m_shared->limits.bodyBytes)
+        m_announcedBytes = length ? std::strtoull(std::string(*length).c_str(), nullptr, 10) : 0;
+        if (m_announcedBytes > m_shared->limits.bodyBytes)
             m_isBodyTooLarge = true;
         const auto expected = head.header("Expect");
         if (expected && !m_isBodyTooLarge)
@@ -271,6 +373,9 @@
         m_request.method = std::move(head.method);
         m_request.target = std::move(head.target);
         m_request.headers = std::move(head.headers);
+        m_headBytes = m_request.target.capacity() + m_request.headers.capacity() * headerLineBytes;
+        for (const auto& [name, value] : m_request.headers)
+            m_headBytes += name.size() + value.size();
     }
 
     void onBody(std::string_view bytes)
@@ -278,7 +383,7 @@
         if (m_request.body.size() + bytes.size() > m_shared->limits.bodyBytes)
             m_isBodyTooLarge = true;
         else
-            m_request.body += bytes;
+            appendSteadily(m_request.body, bytes, m_announcedBytes);
     }
 
     void dispatch()
@@ -286,7 +391,9 @@
         m_isRequestComplete = false;
         m_hasHead = false;
         m_isAnswering = true;
+        m_runningBytes = m_request.body.capacity() + std::exchange(m_headBytes, 0) * headerCopies;
         auto request = std::exchange(m_request, {});
+        account();
         const bool isHead = request.method == headMethod;
         request.remoteIp = m_remoteIp;
         m_shared->handler(std::move(request), std::make_shared<RequestResponder>(shared_from_this(), isHead));
@@ -295,6 +402,8 @@
     void finishRequest()
     {
         m_isAnswering = false;
+        m_runningBytes = 0;
+        m_responseBytes = 0;
         m_disconnectHandler = nullptr;
         m_waitingSince = m_shared->clock();
         if (m_isClosed)
@@ -304,6 +413,7 @@
             return;
         }
         parse();
+        account();
         read();
     }
 
@@ -311,29 +421,43 @@
     {
         m_isLast = true;
         send(encodeWhole(toResponse(problem), m_request.method == headMethod, true));
+        // Assigning an empty request would keep the buffer of the body.
+        std::exchange(m_request, {});
+        m_headBytes = 0;
         closeAfterOutput();
+        account();
     }
 
-    void send(std::string bytes)
+    /// Sends bytes in one or two parts.
+    void send(std::string_view first, std::string_view second = {})
     {
         if (m_isClosed)
             return;
         if (m_output.empty()) {
+            const std::array<asio::const_buffer, 2> buffers { asio::buffer(first.data(), first.size()),
+                asio::buffer(second.data(), second.size()) };
             asio::error_code error;
-            const auto sent = m_socket.write_some(asio::buffer(bytes), error);
+            const auto sent = m_socket.write_some(buffers, error);
             if (error && error != asio::error::would_block) {
                 close();
                 return;
             }
-            if (!error && sent == bytes.size())
+            if (!error && sent == first.size() + second.size())
                 return;
-            m_output = error ? std::move(bytes) : bytes.substr(sent);
+            const auto rest = first.size() + second.size() - (error ? 0 : sent);
+            appendSteadily(m_output, first.substr(std::min(first.size(), error ? 0 : sent)), rest);
+            appendSteadily(m_output, second.substr(second.size() - std::min(second.size(), rest)), rest);
+            // The caller has had no time yet to take them.
+            m_shared->budget.recordProgress(m_key, rest, m_shared->clock());
+            account();
             waitUntilWritable();
             return;
         }
-        m_output += bytes;
+        appendSteadily(m_output, first);
+        appendSteadily(m_output, second);
         if (m_output.size() > writeBacklogLimit)
             close();
+        account();
     }
 
     void waitUntilWritable()
@@ -354,7 +478,15 @@
             close();
             return;
         }
-        m_output.erase(0, error ? 0 : sent);
+        if (!error && sent > 0) {
+            removeFront(m_output, sent);
+            const auto now = m_shared->clock();
+            m_shared->budget.recordProgress(m_key, sent, now);
+            // A response that the caller takes slowly is not idle.
+            if (!m_isAnswering && !m_parser.isInMessage())
+                m_waitingSince = now;
+            account();
+        }
         if (!m_output.empty())
             waitUntilWritable();
         else if (m_isLast && !m_isAnswering)
@@ -370,7 +502,7 @@
         asio::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         m_isDiscarding = true;
-        m_input.clear();
+        release(m_input);
         m_waitingSince = m_shared->clock();
         read();
     }
@@ -394,10 +526,17 @@
     /// Empty if the peer had gone before its address was read.
     std::string m_remoteIp;
     std::shared_ptr<Shared> m_shared;
+    CallerBudget::Key m_key = 0;
     http::MessageParser m_parser;
     HttpRequest m_request;
     std::string m_input;
     std::string m_output;
+    /// Announced length of the body; 0 without one.
+    std::uint64_t m_announcedBytes = 0;
+    /// Memory of the headers in m_request, and of a request and its response that are being handled.
+    std::size_t m_headBytes = 0;
+    std::size_t m_runningBytes = 0;
+    std::size_t m_responseBytes = 0;
     std::function<void()> m_disconnectHandler;
     /// Start of the current wait: for headers, for more of a body, or for a request.
     TimePoint m_waitingSince;
@@ -416,6 +555,16 @@
     bool m_isBodyTooLarge = false;
 };
 
+void StreamServer::Shared::rejectExcess()
+{
+    const auto now = clock();
+    while (const auto decision = budget.nextRejection(now)) {
+        const auto found = connections.find(decision->key);
+        if (const auto connection = found == connections.end() ? nullptr : found->second.lock())
+            connection->rejectFor(decision->reason, now);
+    }
+}
+
 StreamServer::StreamServer(
     asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock, Handler handler)
     : m_shared(std::make_shared<Shared>())
@@ -456,27 +605,31 @@
         const ScopeExit acceptNext([this] { accept(); });
         m_shared->lastAcceptedAt = m_shared->clock();
         auto connection = std::make_shared<Connection>(std::move(socket), m_shared);
-        m_shared->connections.push_back(connection);
+        m_shared->connections.emplace(connection->key(), connection);
         connection->start();
+        m_shared->rejectExcess();
     });
 }
 
 void StreamServer::setLimits(const CallerLimits& limits) { m_shared->limits = limits; }
+void StreamServer::setBudget(const CallerBudgetOptions& options) { m_shared->budget.setOptions(options); }
+const CallerBudget& StreamServer::budget() const { return m_shared->budget; }
 void StreamServer::closeAfterResponses() { m_shared->isClosing = true; }
 
 void StreamServer::enforceTimeouts(TimePoint now)
 {
-    std::erase_if(m_shared->connections, [&](const auto& weak) {
-        const auto connection = weak.lock();
+    std::erase_if(m_shared->connections, [&](const auto& entry) {
+        const auto connection = entry.second.lock();
         if (connection)
             connection->enforceTimeouts(now);
         return !connection || !connection->isOpen();
     });
+    m_shared->rejectExcess();
 }
 
 void StreamServer::closeIdle()
 {
-    for (const auto& weak : m_shared->connections) {
+    for (const auto& [key, weak] : m_shared->connections) {
         if (const auto connection = weak.lock())
             connection->closeIfIdle();
     }
@@ -491,7 +644,7 @@
 std::size_t StreamServer::busyConnectionCount() const
 {
     std::size_t count = 0;
-    for (const auto& weak : m_shared->connections) {
+    for (const auto& [key, weak] : m_shared->connections) {
         const auto connection = weak.lock();
         count += connection && connection->isOpen() && connection->isBusy() ? 1 : 0;
     }
--- a/src/gateway/StreamServer.h
+++ b/src/gateway/StreamServer.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "common/Time.h"
+#include "gateway/CallerBudget.h"
 #include "gateway/Http.h"
 #include <asio.hpp>
 #include <functional>
-#include <list>
 #include <memory>
 
 namespace eelgrassford::gateway {
@@ -39,6 +39,10 @@
     /// @brief Starts to accept connections; until then they wait in the listen queue.
     void startAccepting();
     void setLimits(const CallerLimits& limits);
+    /// @brief Sets the budgets for all callers together.
+    void setBudget(const CallerBudgetOptions& options);
+    /// @brief What is held for callers.
+    const CallerBudget& budget() const;
     /// @brief Applies the time limits to all connections that are not being answered; call a few times a second.
     void enforceTimeouts(TimePoint now);
     /// @brief Sends `Connection: close` with every response from now on.
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <http_parser.h>
 #include <limits>
+#include <utility>
 
 namespace eelgrassford::http {
 
@@ -79,6 +80,15 @@
     void setHeaderLimit(std::size_t bytes) { m_headerLimit = bytes; }
     void expectNoBody(bool isExpected) { m_isBodyExpected = !isExpected; }
     bool isInMessage() const { return m_isInMessage; }
+    std::size_t heldBytes() const
+    {
+        return m_hasHead ? 0 : m_headerBytes + m_head.headers.capacity() * sizeof(gateway::Headers::value_type);
+    }
+    void releaseHead()
+    {
+        std::exchange(m_head, {});
+        m_headerBytes = 0;
+    }
 
 private:
     static Implementation& self(http_parser* parser) { return *static_cast<Implementation*>(parser->data); }
@@ -213,6 +223,8 @@
 bool MessageParser::finish() { return m_implementation->finish(); }
 void MessageParser::setHeaderLimit(std::size_t bytes) { m_implementation->setHeaderLimit(bytes); }
 void MessageParser::expectNoBody(bool isExpected) { m_implementation->expectNoBody(isExpected); }
+std::size_t MessageParser::heldBytes() const { return m_implementation->heldBytes(); }
+void MessageParser::releaseHead() { m_implementation->releaseHead(); }
 bool MessageParser::isInMessage() const { return m_implementation->isInMessage(); }
 
 }
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -62,6 +62,10 @@
     void setHeaderLimit(std::size_t bytes);
     /// @brief Sets whether the next response has no body, as after a HEAD request.
     void expectNoBody(bool isExpected);
+    /// @brief Memory of start line and headers that are not complete.
+    std::size_t heldBytes() const;
+    /// @brief Frees start line and headers; no more bytes may be fed.
+    void releaseHead();
     /// @brief Whether a message has begun and is not complete.
     bool isInMessage() const;
 
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -1,5 +1,6 @@
 #include "proxy/Session.h"
 
+#include "common/Buffer.h"
 #include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
 
@@ -127,6 +128,8 @@
 {
     upstream::Exchange exchange;
     exchange.bytes = std::move(bytes);
+    exchange.body = m_admitted.request.body;
+    exchange.bodyOwner = shared_from_this();
     exchange.isBodyless = m_admitted.request.method == "HEAD";
     exchange.isAnswer = [&codec = m_router.m_codec, id = m_admitted.metadata.attemptId](const http::MessageHead& head) {
         const auto metadata = codec.decodeResponse(head);
@@ -193,7 +196,6 @@
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
@@ -264,9 +266,12 @@
             failMalformed("the stream holds something other than events");
         else if (attempt.events.isTooLarge())
             failMalformed("an event of the stream is too large");
+        else
+            m_responder->holdBytes(attempt.events.bufferedBytes());
     } else if (hasRoomFor(bytes.size())) {
-        attempt.body += bytes;
+        appendSteadily(attempt.body, bytes);
         attempt.bufferedBytes += bytes.size();
+        m_responder->holdBytes(attempt.body.capacity());
     } else {
         failMalformed("the response is too large");
     }
@@ -351,11 +356,11 @@
 void Session::relayWhole()
 {
     const auto now = m_router.now();
-    const auto& attempt = *m_attempt;
+    auto& attempt = *m_attempt;
     gateway::HttpResponse response;
     response.status = attempt.head.status;
     response.headers = m_router.m_codec.encodeResponse(attempt.head.headers);
-    response.body = attempt.body;
+    response.body = attempt.takeBody();
     recordFirstByte(now);
     const auto status = attempt.head.status;
     endAttempt(status >= status::serverError ? Observation::Failed : Observation::Served, now);
@@ -375,6 +380,8 @@
     if (!m_attempt)
         return;
     const auto attempt = std::move(m_attempt);
+    if (!attempt->body.empty())
+        m_responder->holdBytes(0);
     if (observation == Observation::Served)
         m_router.m_overload.recordServiceTime(m_admitted.service, m_admitted.route->name, now - attempt->sentAt, now);
     auto* runner = m_router.m_registry.find(attempt->runner);
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -48,10 +48,16 @@
             : bufferedBytes(bufferedResponseBytes)
         {
         }
-        ~Attempt() { bufferedBytes -= body.size(); }
+        ~Attempt() { takeBody(); }
         Attempt(const Attempt&) = delete;
         Attempt& operator=(const Attempt&) = delete;
 
+        std::string takeBody()
+        {
+            bufferedBytes -= body.size();
+            return std::exchange(body, {});
+        }
+
         std::string runner;
         /// Software of the runner, unknownSoftware if it may have restarted since it was listed.
         std::uint64_t software = runners::unknownSoftware;
@@ -102,13 +108,13 @@
     void beginAttempt(const std::string& target, TimePoint now);
     /// Starts an exchange as the current attempt.
     void startExchange(upstream::ConnectionPool& pool, std::string bytes);
-    /// The request as HTTP/1.1 bytes, with other headers.
+    /// Start line and headers of the request as HTTP/1.1 bytes, with other headers.
     std::string encode(const gateway::Headers& headers) const;
     /// Decides what follows when no runner can take the request now.
     void onNoRunner(TimePoint now);
     /// Waits for the runner that may take the request first, if that is soon.
     bool tryWaitForRunner(TimePoint now);
-    /// The request as HTTP/1.1 bytes for a runner.
+    /// Start line and headers of the request as HTTP/1.1 bytes for a runner.
     std::string encode(const runners::Runner& runner, const runners::Placement& placement, TimePoint now) const;
     void onHead(http::MessageHead& head);
     /// Whether the body of a response is relayed event by event.
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -1,5 +1,6 @@
 #include "upstream/ConnectionPool.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <netinet/tcp.h>
@@ -165,8 +166,12 @@
         if (m_isClosed || !m_isBusy)
             return;
         asio::error_code error;
-        const auto rest = std::string_view(m_exchange.bytes).substr(m_writtenBytes);
-        const auto size = m_socket.write_some(asio::buffer(rest.data(), rest.size()), error);
+        const auto headWritten = std::min(m_writtenBytes, m_exchange.bytes.size());
+        const auto bodyWritten = m_writtenBytes - headWritten;
+        const std::array<asio::const_buffer, 2> rest { asio::buffer(m_exchange.bytes.data() + headWritten,
+                                                           m_exchange.bytes.size() - headWritten),
+            asio::buffer(m_exchange.body.data() + bodyWritten, m_exchange.body.size() - bodyWritten) };
+        const auto size = m_socket.write_some(rest, error);
         if (!error)
             m_writtenBytes += size;
         else if (error != asio::error::would_block) {
@@ -174,7 +179,7 @@
             finish(end, error.message(), true);
             return;
         }
-        if (m_writtenBytes == m_exchange.bytes.size())
+        if (m_writtenBytes == requestBytes())
             return;
         m_socket.async_wait(
             asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const asio::error_code& failed) {
@@ -183,6 +188,8 @@
             });
     }
 
+    std::size_t requestBytes() const { return m_exchange.bytes.size() + m_exchange.body.size(); }
+
     void read()
     {
         if (m_isClosed)
@@ -277,7 +284,7 @@
         // Skips an informational response or a late response to an earlier request; the awaited one follows.
         if (!m_isAnswer)
             return;
-        m_isReusable = m_isReusable && !hasMoreBytes && m_writtenBytes == m_exchange.bytes.size();
+        m_isReusable = m_isReusable && !hasMoreBytes && m_writtenBytes == requestBytes();
         finish(ExchangeEnd::Complete, {}, false);
     }
 
@@ -289,7 +296,8 @@
         const auto self = shared_from_this();
         const auto ended = std::move(m_events.ended);
         m_events = {};
-        m_exchange = {};
+        // Assigning an empty exchange would keep the buffer of the request.
+        std::exchange(m_exchange, {});
         if (end != ExchangeEnd::Complete || !m_isReusable || *m_pool == nullptr)
             close();
         else {
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -14,8 +14,12 @@
 
 /// @brief A serialized request and how to recognize its response.
 struct Exchange {
-    /// Start line, headers and body.
+    /// Start line and headers, and the body unless it is given apart.
     std::string bytes;
+    /// Body that is sent after them; it stays with its owner.
+    std::string_view body;
+    /// Keeps the body alive.
+    std::shared_ptr<const void> bodyOwner;
     /// Tells from the head of a response whether it answers this request. A reused connection may still deliver a
     /// late response to an earlier request.
     std::function<bool(const http::MessageHead&)> isAnswer;
--- a/tests/e2e/CallerLoad.cpp
+++ b/tests/e2e/CallerLoad.cpp
@@ -84,7 +84,7 @@
         return Load { head(chunked), chunk(65536), 1024, "0\r\n\r\n" };
     if (name == "unread-responses")
         return Load { "", head("Content-Length: 524288\r\n") + std::string(mebibyte / 2, 'x'), 3, "", false };
-    if (name == "idle")
+    if (name == "idle" || name == "largest-request")
         return Load {};
     if (name == "pipelined") {
         std::string lines;
--- a/tests/e2e/callers.test.sh
+++ b/tests/e2e/callers.test.sh
@@ -8,6 +8,8 @@
 bin=$1 name=$2 callers=$3 memory=${4:-checked}
 # Lower than those of the smallest host (112 MB, 2,870 descriptors), so that a few callers exceed them.
 limit_megabytes=64 max_descriptors=300
+# The largest permitted request has to be served with the memory of the smallest host.
+[ "$name" = largest-request ] && limit_megabytes=112
 base=45 work=$(mktemp -d)
 declare -A pids=()
 trap 'kill -9 "${pids[@]}" 2> /dev/null; rm -rf "$work"' EXIT
@@ -70,6 +72,14 @@
 curl -sf -X PUT "$store/item/servers/runner-1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.1:8000\",\"zone\":\"south\",\"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":1,\"version\":\"v1\"}" > /dev/null
 wait_until "an ordinary request is served before the load" is_served
 
+if [ "$name" = largest-request ]; then
+    head -c 4194304 /dev/zero | tr "\0" x > "$work/largest"
+    largest=$(curl -s -m 60 -o "$work/body" -w "%{http_code}" "http://127.$base.1.1:8000/look/1" -H "Host: a.example" \
+        -H "X-Attempt-Id: largest" -H "X-Deadline-Ms: 5000" -H "X-Key: key-1" -H "Expect:" \
+        -H "X-Long: $(head -c 16000 /dev/zero | tr "\0" h)" --data-binary "@$work/largest")
+    check "a request of the largest size is served" equal "$largest" 200
+    check "with its whole body" equal "$(wc -c < "$work/body")" $((4194304 + 9))
+fi
 start load "$bin/tests/caller_load" "$name" "127.$base.1.1:8000" "$callers"
 most_descriptors=0
 for _ in $(seq 2400); do
--- a/tests/edge/RelaySettingsTest.cpp
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -46,6 +46,24 @@
     CHECK(changed->configurationDeadline == std::chrono::seconds(4));
 }
 
+TEST_CASE("limits of memory and descriptors are checked, and 0 stands for those of the host")
+{
+    // Failure: a mistyped limit ends in a budget that refuses every caller, or none.
+    const auto parse = [](const std::string& line) { return edge::parseRelaySettings(settings + "[memory]\n" + line); };
+    const auto result = parse("limit_megabytes = 112\nmax_descriptors = 2870\nmin_bytes_per_second = 50\n");
+    REQUIRE(result);
+    CHECK(result->limits.memoryMegabytes == 112.0);
+    CHECK(result->limits.descriptors == 2870.0);
+    CHECK(result->limits.minBytesPerSecond == 50.0);
+    const auto unstated = parse("limit_megabytes = 0\nmax_descriptors = 0\n");
+    REQUIRE(unstated);
+    CHECK_FALSE(unstated->limits.memoryMegabytes);
+    CHECK_FALSE(unstated->limits.descriptors);
+    for (const char* line : { "limit_megabytes = 15", "limit_megabytes = -1", "limit_megabytes = \"112\"",
+             "max_descriptors = 10", "min_bytes_per_second = 1000" })
+        CHECK_FALSE(parse(line));
+}
+
 TEST_CASE("an invalid setting is refused with its name, its value and what is allowed")
 {
     const auto address = edge::parseRelaySettings(withReplaced("10.0.0.1:80", "nowhere"));
--- a/tests/gateway/StreamServerTest.cpp
+++ b/tests/gateway/StreamServerTest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/StreamServer.h"
 
 #include "support/Loopback.h"
+#include <algorithm>
 
 using namespace eelgrassford;
 using tests::Peer;
@@ -287,3 +288,58 @@
     runUntil(server.context, [&] { return count(caller->received, "malformed") == total; });
     CHECK_FALSE(caller->isEnded);
 }
+
+TEST_CASE("large bodies are refused as not run when the memory is used up, and a small request is served")
+{
+    // Failure: incomplete bodies take all memory, or small requests are refused in their place.
+    Fixture fixture;
+    gateway::CallerBudgetOptions options;
+    options.bytes = 4u << 20;
+    fixture.server.setBudget(options);
+    const auto chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    std::vector<std::shared_ptr<Peer>> large;
+    const auto isRefused = [](const auto& peer) { return peer->has("HTTP/1.1 503 ") && peer->has("not-run"); };
+    for (int i = 0; i < 8; ++i) {
+        large.push_back(Peer::connect(fixture.context, fixture.port));
+        large.back()->sendEndlessly("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", chunk);
+    }
+    runUntil(fixture.context, [&] { return std::any_of(large.begin(), large.end(), isRefused); });
+    const auto small = Peer::connect(fixture.context, fixture.port);
+    small->send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    CHECK(fixture.requests[0].target == "/small");
+    fixture.responders[0]->respond({ 200, {}, "served" });
+    runUntil(fixture.context, [&] { return small->has("served"); });
+    // One read and one growth step of a body may come on top.
+    CHECK(fixture.server.budget().heldBytes() <= options.bytes + (512u << 10));
+    small->close();
+    for (const auto& peer : large)
+        peer->close();
+    fixture.responders.clear();
+    runUntil(fixture.context, [&] {
+        fixture.server.enforceTimeouts(daemon::currentTime());
+        return fixture.server.budget().connections() == 0;
+    });
+    CHECK(fixture.server.budget().heldBytes() == 0);
+}
+
+TEST_CASE("a response that its caller does not read gives way when the memory is used up")
+{
+    // Failure: responses that nobody takes hold the memory until their callers close.
+    Fixture fixture;
+    gateway::CallerBudgetOptions options;
+    options.bytes = 24u << 20;
+    fixture.server.setBudget(options);
+    asio::ip::tcp::socket unread(fixture.context);
+    unread.open(asio::ip::tcp::v4());
+    unread.set_option(asio::socket_base::receive_buffer_size(4096));
+    unread.connect({ asio::ip::make_address("127.0.0.1"), fixture.port });
+    asio::write(unread, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    fixture.awaitRequests(1);
+    fixture.responders[0]->respond({ 200, {}, std::string(32u << 20, 'x') });
+    CHECK(fixture.server.budget().heldBytes() > options.bytes);
+    fixture.server.enforceTimeouts(daemon::currentTime());
+    CHECK(fixture.server.budget().rejections(gateway::CallerRejection::Memory) == 1);
+    fixture.responders.clear();
+    runUntil(fixture.context, [&] { return fixture.server.budget().heldBytes() == 0; });
+}
--- a/tests/telemetry/LogVocabularyTest.cpp
+++ b/tests/telemetry/LogVocabularyTest.cpp
@@ -40,7 +40,7 @@
     const auto root = std::filesystem::path(EELGRASSFORD_TEST_DATA).parent_path();
     const auto vocabulary = readFile(root / "docs" / "LOGS.md");
     std::size_t count = 0;
-    for (const char* package : { "edge", "proxy", "store", "fleet", "runners" }) {
+    for (const char* package : { "edge", "gateway", "proxy", "store", "fleet", "runners" }) {
         for (const auto& event : loggedEvents(root / "src" / package)) {
             INFO(event);
             CHECK(vocabulary.find("`" + event + "`") != std::string::npos);
