--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "common/Address.h"
 #include "common/Time.h"
+#include "edge/HostLimits.h"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,8 @@
     /// Data centres that the deployment may lose at once. If there are any, requests stay in the data centre of the
     /// daemon, where possible.
     std::uint32_t toleratedDataCentreLosses = 0;
+    /// Memory and descriptors of this process.
+    LimitSettings limits;
 };
 
 /// @brief A settings file that cannot be used.
