Tell other daemons the demand of callers and the time of the fleet

Digests end with the work that the sender's callers request (by service and priority, with at most 12 flows) and the time of the fleet, summaries with the sums of their daemons and the 12 heaviest flows of each service. The fields before them are reserved for the remaining work of runners and empty. Daemons of earlier releases ignore them; missing or implausible ones mean "not known".

A daemon's own part is taken from the sum that it gets back, by the report that the summary acknowledges, as for the load of runners.

Demand is kept by service, and a flow's key holds its priority in its lowest bits: the division needs the work by urgency, and services have different capacities.

--- a/src/fleet/Aggregation.cpp
+++ b/src/fleet/Aggregation.cpp
@@ -151,7 +151,7 @@
 
 void Aggregation::recordReport(const Digest& digest, TimePoint now)
 {
-    m_reports.push_back({ digest.sequence, now, digest.runners });
+    m_reports.push_back({ digest.sequence, now, digest.runners, digest.demands });
     if (m_reports.size() > m_options.maxPendingReports)
         m_reports.pop_front();
 }
@@ -219,9 +219,8 @@
     if (!m_fleet || !isFresh(*m_fleet, now))
         return {};
     auto result = m_fleet->summary.runners;
-    const auto report = std::find_if(m_reports.begin(), m_reports.end(),
-        [&](const Report& candidate) { return candidate.sequence == m_fleet->summary.acknowledged; });
-    if (report == m_reports.end())
+    const auto* report = acknowledgedReport();
+    if (!report)
         return result;
     for (const auto& own : report->runners) {
         const auto total = std::find_if(
@@ -236,6 +235,30 @@
     return result;
 }
 
+const Aggregation::Report* Aggregation::acknowledgedReport() const
+{
+    const auto report = std::find_if(m_reports.begin(), m_reports.end(),
+        [&](const Report& candidate) { return candidate.sequence == m_fleet->summary.acknowledged; });
+    return report == m_reports.end() ? nullptr : &*report;
+}
+
+void Aggregation::addOtherGroupDemands(TimePoint now, admission::DemandSum& sum) const
+{
+    for (const auto& [ip, received] : m_groups) {
+        if (isFresh(received, now))
+            sum.add(received.summary.demands);
+    }
+}
+
+void Aggregation::addFleetDemandsWithoutSelf(TimePoint now, admission::DemandSum& sum) const
+{
+    if (!m_fleet || !isFresh(*m_fleet, now))
+        return;
+    sum.add(m_fleet->summary.demands);
+    if (const auto* report = acknowledgedReport())
+        sum.subtract(report->demands);
+}
+
 std::uint32_t Aggregation::fleetSize(TimePoint now) const
 {
     return m_fleet && isFresh(*m_fleet, now) ? m_fleet->summary.daemons : 0;
--- a/src/fleet/Aggregation.h
+++ b/src/fleet/Aggregation.h
@@ -84,6 +84,10 @@
     std::uint32_t otherGroupsSize(TimePoint now) const;
     /// @brief State of the fleet without this daemon, by its aggregator's newest summary; empty if that has expired.
     std::vector<RunnerTotal> fleetWithoutSelf(TimePoint now) const;
+    /// @brief Adds the demands of the other groups.
+    void addOtherGroupDemands(TimePoint now, admission::DemandSum& sum) const;
+    /// @brief Adds the demands of the fleet without this daemon, by its aggregator's newest summary.
+    void addFleetDemandsWithoutSelf(TimePoint now, admission::DemandSum& sum) const;
     /// @brief Daemons of the fleet by that summary, this one included; 0 if it has expired.
     std::uint32_t fleetSize(TimePoint now) const;
 
@@ -92,6 +96,7 @@
         std::uint64_t sequence = 0;
         TimePoint sentAt {};
         std::vector<RunnerState> runners;
+        std::vector<admission::ServiceDemand> demands;
     };
     struct Received {
         Summary summary;
@@ -99,6 +104,8 @@
     };
 
     bool isFresh(const Received& received, TimePoint now) const;
+    /// The report that the newest summary of the fleet contains; null if it is not known any more.
+    const Report* acknowledgedReport() const;
     void suspectSilentAggregators(TimePoint now);
     void chooseAggregators(std::span<const std::string> presentIps, bool hasReporters, TimePoint now);
 
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -135,6 +135,69 @@
         return result;
     }
 
+    /// Services and flows of each that are read from a message; more are ignored.
+    constexpr std::size_t maxDemands = 32;
+    constexpr std::size_t maxFlows = 12;
+    /// Ten million slots. A larger figure is wrong, and would leave nothing to the other flows.
+    constexpr admission::Work maxWork = 1'000'000'000;
+
+    /// One array for each service: its key, the work by priority without trailing zeros, and flows and their work in
+    /// turn.
+    json demandsToJson(std::span<const admission::ServiceDemand> demands)
+    {
+        auto result = json::array();
+        for (const auto& demand : demands) {
+            auto byPriority = json(demand.byPriority);
+            while (!byPriority.empty() && byPriority.back() == 0)
+                byPriority.erase(byPriority.size() - 1);
+            auto flows = json::array();
+            for (const auto& flow : demand.flows) {
+                flows.push_back(flow.flow);
+                flows.push_back(flow.work);
+            }
+            result.push_back({ demand.service, byPriority, flows });
+        }
+        return result;
+    }
+
+    /// @param index index of the demands, which daemons of earlier releases do not send
+    std::vector<admission::ServiceDemand> toDemands(const json& fields, std::size_t index)
+    {
+        const auto toWork = [](const json& value) { return std::min(value.get<admission::Work>(), maxWork); };
+        std::vector<admission::ServiceDemand> result;
+        if (fields.size() <= index)
+            return result;
+        for (const auto& entry : fields.at(index)) {
+            if (result.size() >= maxDemands)
+                break;
+            admission::ServiceDemand demand;
+            demand.service = entry.at(0).get<std::uint32_t>();
+            const auto& byPriority = entry.at(1);
+            for (std::size_t i = 0; i < std::min(byPriority.size(), demand.byPriority.size()); ++i)
+                demand.byPriority[i] = toWork(byPriority.at(i));
+            const auto& flows = entry.at(2);
+            for (std::size_t i = 0; i + 1 < std::min(flows.size(), 2 * maxFlows); i += 2)
+                demand.flows.push_back({ flows.at(i).get<admission::FlowKey>(), toWork(flows.at(i + 1)) });
+            result.push_back(std::move(demand));
+        }
+        return result;
+    }
+
+    json fleetTimeToJson(std::optional<Duration> time) { return time ? json(toMillisecondCount(*time)) : json(); }
+
+    /// @param index index of the time, which daemons of earlier releases do not send
+    std::optional<Duration> toFleetTime(const json& fields, std::size_t index)
+    {
+        // A hundred years, which still fit into a Duration.
+        constexpr std::int64_t maxMilliseconds = 100LL * 365 * 86'400'000;
+        if (fields.size() <= index || fields.at(index).is_null())
+            return std::nullopt;
+        const auto milliseconds = fields.at(index).get<std::int64_t>();
+        if (milliseconds < 0 || milliseconds > maxMilliseconds)
+            return std::nullopt;
+        return std::chrono::milliseconds(milliseconds);
+    }
+
     json toJson(const Digest& digest)
     {
         auto runners = json::array();
@@ -143,7 +206,9 @@
                 { state.runner, state.inFlight, state.servedTenths, state.failedTenths, state.suspendedMs });
         return { digest.incarnation, digest.sequence, digest.ip, digest.region, digest.changeRevision, digest.members,
             runners, requestsToJson(digest.crashes), digest.isLeaving, digest.aggregator,
-            promptPartsToJson(digest.crashes), limitsToJson(digest.statements), leavingToJson(digest.statements) };
+            promptPartsToJson(digest.crashes), limitsToJson(digest.statements), leavingToJson(digest.statements),
+            // Reserved for the remaining work of the runners.
+            json::array(), demandsToJson(digest.demands), fleetTimeToJson(digest.fleetTime) };
     }
 
     json toJson(const FreshnessRequest& request) { return json::array({ request.nonce }); }
@@ -206,6 +271,8 @@
         if (fields.size() > 9)
             digest.aggregator = fields.at(9).get<std::string>();
         digest.statements = toStatements(fields, 11);
+        digest.demands = toDemands(fields, 14);
+        digest.fleetTime = toFleetTime(fields, 15);
         return digest;
     }
 
@@ -231,6 +298,8 @@
         summary.crashes = toCrashRecords(fields, 10, 12);
         summary.isLeaving = fields.at(11).get<bool>();
         summary.statements = toStatements(fields, 13);
+        summary.demands = toDemands(fields, 16);
+        summary.fleetTime = toFleetTime(fields, 17);
         return summary;
     }
 
@@ -256,7 +325,9 @@
     json::to_cbor(json { summary.scope == Summary::Scope::Fleet, summary.incarnation, summary.sequence, summary.ip,
                       summary.region, summary.proofAgeMs, summary.changeRevision, summary.daemons, summary.members,
                       values, requestsToJson(summary.crashes), summary.isLeaving, promptPartsToJson(summary.crashes),
-                      limitsToJson(summary.statements), leavingToJson(summary.statements) },
+                      limitsToJson(summary.statements), leavingToJson(summary.statements),
+                      // Reserved for the remaining work of the runners.
+                      json::array(), demandsToJson(summary.demands), fleetTimeToJson(summary.fleetTime) },
         bytes);
     return bytes;
 }
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/Demand.h"
 #include "dispatch/CrashRegistry.h"
 #include "dispatch/StreamOrigins.h"
 #include "runners/SoleVersion.h"
@@ -66,6 +67,10 @@
     std::string aggregator;
     /// What runners stated to the sender.
     std::vector<RunnerStatement> statements;
+    /// Work that the sender's callers request, with the heaviest flows of each service.
+    std::vector<admission::ServiceDemand> demands;
+    /// Time of the fleet; empty if the sender does not know it.
+    std::optional<Duration> fleetTime;
 };
 
 /// @brief State of one runner, summed over several daemons.
@@ -110,6 +115,10 @@
     bool isLeaving = false;
     /// What runners stated, as the sender knows.
     std::vector<RunnerStatement> statements;
+    /// Work that the callers of these daemons request.
+    std::vector<admission::ServiceDemand> demands;
+    /// Time of the fleet; empty if the sender does not know it.
+    std::optional<Duration> fleetTime;
 };
 
 /// @brief Asks a daemon that reads the store how fresh its mirror is.
--- a/src/fleet/Gossip.cpp
+++ b/src/fleet/Gossip.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace eelgrassford::fleet {
 
@@ -75,7 +76,7 @@
     const auto due = m_aggregation.isActive() ? m_members.takeDueDirect(now) : m_members.takeDue(now);
     if (due.empty())
         return;
-    auto digest = createDigest(state);
+    auto digest = createDigest(state, now);
     digest.members = m_aggregation.isActive() ? m_members.samplePresent(m_options.membersForNewcomer, now)
                                               : m_members.sampleMembers();
     const auto bytes = encode(digest);
@@ -85,7 +86,7 @@
 
 void Gossip::sendReport(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing)
 {
-    auto digest = createDigest(state);
+    auto digest = createDigest(state, now);
     digest.members = m_members.sampleHeard(m_options.members.membersPerDigest, now);
     const auto bytes = encode(digest);
     // The previous aggregator learns from the digest that it must not count this daemon any more.
@@ -121,10 +122,11 @@
         return;
     m_nextRandomDigestAt = now + m_options.randomDigestInterval;
     const auto index = static_cast<std::size_t>(m_random() * static_cast<double>(known.size()));
-    auto digest = createDigest(state);
+    auto digest = createDigest(state, now);
     digest.runners.clear();
     digest.crashes.clear();
     digest.statements.clear();
+    digest.demands.clear();
     digest.members = m_members.sampleHeard(m_options.members.membersPerDigest, now);
     const auto& ip = known[std::min(index, known.size() - 1)];
     // The aggregator's copy of the state must not be replaced by an empty one.
@@ -141,7 +143,7 @@
 
 std::vector<Gossip::Outgoing> Gossip::leave(const LocalState& state, TimePoint now)
 {
-    auto digest = createDigest(state);
+    auto digest = createDigest(state, now);
     digest.isLeaving = true;
     const auto bytes = encode(digest);
     std::vector<Outgoing> outgoing;
@@ -154,6 +156,7 @@
     auto summary = createSummary(Summary::Scope::Group, state, now);
     summary.isLeaving = true;
     summary.runners.clear();
+    summary.demands.clear();
     const auto body = encodeSummary(0, encodeBody(summary));
     for (const auto& ip : m_aggregation.otherAggregators(now))
         outgoing.push_back({ ip, body });
@@ -166,6 +169,8 @@
 {
     if (digest.region != m_identity.region || !m_members.receive(digest, now))
         return std::nullopt;
+    if (digest.fleetTime)
+        m_clock.receive(*digest.fleetTime, now);
     // In a small fleet daemons name members that they heard up to a forget timeout ago; that is no sign of life.
     if (!digest.aggregator.empty())
         m_members.mention(digest.members, Evidence::Reported, now);
@@ -178,6 +183,8 @@
 {
     if (summary.region != m_identity.region || !m_aggregation.receive(summary, now))
         return std::nullopt;
+    if (summary.fleetTime)
+        m_clock.receive(*summary.fleetTime, now);
     const bool isGroup = summary.scope == Summary::Scope::Group;
     m_members.mention(summary.members, isGroup ? Evidence::Reported : Evidence::Repeated, now);
     const std::vector<std::string> sender { summary.ip };
@@ -191,7 +198,7 @@
     return news;
 }
 
-Digest Gossip::createDigest(const LocalState& state)
+Digest Gossip::createDigest(const LocalState& state, TimePoint now)
 {
     Digest digest;
     digest.incarnation = m_identity.incarnation;
@@ -205,6 +212,8 @@
     // Daemons repeat only what runners told them: a statement that they repeated to each other would never grow old.
     std::copy_if(state.statements.begin(), state.statements.end(), std::back_inserter(digest.statements),
         [](const RunnerStatement& statement) { return statement.isOwn; });
+    digest.demands = state.demands;
+    digest.fleetTime = m_clock.timeAt(now);
     return digest;
 }
 
@@ -232,6 +241,8 @@
     summary.runners = toTotals(sum);
     summary.crashes = state.crashes;
     summary.statements = state.statements;
+    summary.demands = sumDemands(scope, state, now);
+    summary.fleetTime = m_clock.timeAt(now);
     return summary;
 }
 
@@ -263,6 +274,36 @@
     return sum;
 }
 
+std::vector<admission::ServiceDemand> Gossip::sumDemands(
+    Summary::Scope scope, const LocalState& state, TimePoint now) const
+{
+    admission::DemandSum sum;
+    m_members.addDemands(m_identity.ip, now, sum);
+    if (m_aggregation.isOwnAggregator())
+        sum.add(state.demands);
+    if (scope == Summary::Scope::Fleet)
+        m_aggregation.addOtherGroupDemands(now, sum);
+    return sum.take(m_options.flowsPerSummary);
+}
+
+std::vector<admission::ServiceDemand> Gossip::demandOfOthers(TimePoint now) const
+{
+    admission::DemandSum sum;
+    if (!m_aggregation.isActive()) {
+        m_members.addDemands(std::nullopt, now, sum);
+    } else {
+        // Members without an aggregator are in no group.
+        m_members.addDemands("", now, sum);
+        if (m_aggregation.isOwnAggregator()) {
+            m_members.addDemands(m_identity.ip, now, sum);
+            m_aggregation.addOtherGroupDemands(now, sum);
+        } else {
+            m_aggregation.addFleetDemandsWithoutSelf(now, sum);
+        }
+    }
+    return sum.take(std::numeric_limits<std::size_t>::max());
+}
+
 std::vector<std::string> Gossip::liveIps(TimePoint now) const
 {
     if (!m_aggregation.isActive())
--- a/src/fleet/Gossip.h
+++ b/src/fleet/Gossip.h
@@ -3,6 +3,7 @@
 #include "common/Time.h"
 #include "fleet/Aggregation.h"
 #include "fleet/Digest.h"
+#include "fleet/FleetClock.h"
 #include "fleet/Members.h"
 #include <functional>
 #include <optional>
@@ -31,6 +32,8 @@
     std::uint64_t changeRevision = 0;
     /// Time of the newest freshness proof, from the store or from another daemon.
     std::optional<TimePoint> provenAt;
+    /// Work that the callers of this daemon request.
+    std::vector<admission::ServiceDemand> demands;
 };
 
 /// @brief Decides which messages about load, health and members the daemons exchange. No I/O.
@@ -52,6 +55,8 @@
         Duration randomDigestInterval = std::chrono::seconds(1);
         /// Time after which seeds that were forgotten are known again.
         Duration seedInterval = std::chrono::seconds(30);
+        /// Flows of each service that a summary names.
+        std::size_t flowsPerSummary = 12;
     };
     /// @brief A datagram to send.
     struct Outgoing {
@@ -87,6 +92,10 @@
 
     /// @brief Sums the runner states of the other daemons.
     std::unordered_map<RunnerKey, RunnerSummary> summarize(TimePoint now) const;
+    /// @brief Work that the callers of the other daemons request, with the heaviest flows.
+    std::vector<admission::ServiceDemand> demandOfOthers(TimePoint now) const;
+    /// @brief Time by which the clock of the fleet is ahead of this daemon's.
+    Duration fleetClockLead() const { return m_clock.lead(); }
     /// @brief Addresses of the other daemons that are believed to be alive.
     std::vector<std::string> liveIps(TimePoint now) const;
     /// @brief Addresses of the other daemons that showed a sign of life lately, and may still send requests.
@@ -98,12 +107,15 @@
     const Aggregation& aggregation() const { return m_aggregation; }
 
 private:
-    Digest createDigest(const LocalState& state);
+    Digest createDigest(const LocalState& state, TimePoint now);
     Summary createSummary(Summary::Scope scope, const LocalState& state, TimePoint now);
     void sendDirect(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing);
     void sendReport(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing);
     void sendSummaries(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing);
     void sendToRandomMember(const LocalState& state, TimePoint now, std::vector<Outgoing>& outgoing);
+    /// Sums the demands for the summaries of an aggregator.
+    std::vector<admission::ServiceDemand> sumDemands(
+        Summary::Scope scope, const LocalState& state, TimePoint now) const;
     /// Sums the group of this daemon as an aggregator, with its own state if it reports to itself.
     std::unordered_map<RunnerKey, RunnerSummary> sumGroup(const std::vector<RunnerState>& own, TimePoint now) const;
 
@@ -112,6 +124,7 @@
     RandomSource m_random;
     Members m_members;
     Aggregation m_aggregation;
+    FleetClock m_clock;
     std::vector<std::string> m_seeds;
     std::uint64_t m_sequence = 0;
     TimePoint m_nextReportAt {};
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -190,6 +190,14 @@
     }
 }
 
+void Members::addDemands(std::optional<std::string_view> aggregator, TimePoint now, admission::DemandSum& sum) const
+{
+    for (const auto& [ip, member] : m_members) {
+        if (isLive(member, now) && (!aggregator || member.digest->aggregator == *aggregator))
+            sum.add(member.digest->demands);
+    }
+}
+
 std::vector<Members::Reporter> Members::reportersTo(std::string_view aggregator, TimePoint now) const
 {
     std::vector<Reporter> result;
--- a/src/fleet/Members.h
+++ b/src/fleet/Members.h
@@ -93,6 +93,8 @@
     /// @brief Adds the runner states of the live members that name @a aggregator as theirs.
     void addTotals(
         std::string_view aggregator, TimePoint now, std::unordered_map<RunnerKey, RunnerSummary>& totals) const;
+    /// @brief Adds the demands of the live members, or of those that name @a aggregator as theirs.
+    void addDemands(std::optional<std::string_view> aggregator, TimePoint now, admission::DemandSum& sum) const;
     /// @brief A live member that reports to a daemon.
     struct Reporter {
         std::string ip;
--- a/tests/fleet/GossipTest.cpp
+++ b/tests/fleet/GossipTest.cpp
@@ -70,6 +70,16 @@
         CAPTURE(size);
         FleetModel model(size, 20261204);
         setUsualLoad(model);
+        // Three services with four organisations each.
+        for (std::size_t i = 0; i < size; ++i) {
+            for (std::uint32_t service = 0; service < 3; ++service) {
+                auto& demand = model.daemons()[i].state.demands.emplace_back();
+                demand = { 1'000'000'000 + service, { 3000, 2000, 900 }, {} };
+                for (std::size_t flow = 0; flow < 4; ++flow)
+                    demand.flows.push_back(
+                        { static_cast<admission::FlowKey>(3'000'000'000 + 8 * (i + flow) % 240), 250 });
+            }
+        }
         model.run(settleTime);
         CHECK(model.countExact(runner) == size);
         model.resetCounts();
@@ -205,6 +215,65 @@
         CHECK(daemon.state.changeRevision == 42);
 }
 
+namespace {
+
+/// Work of the most urgent kind that a daemon believes the others to be asked for.
+admission::Work believedDemand(const FleetModel& model, std::size_t index)
+{
+    const auto demands = model.daemons()[index].gossip->demandOfOthers(model.now());
+    return demands.empty() ? 0 : demands[0].byPriority[0];
+}
+
+}
+
+TEST_CASE("the demand of all daemons, the heaviest organisations and one clock are known in any fleet, until one ends")
+{
+    for (const std::size_t size : { 7u, 60u }) {
+        CAPTURE(size);
+        FleetModel model(size, 14, smallGroups());
+        for (std::size_t i = 0; i < size; ++i) {
+            // One heavy organisation at all daemons, and others at one daemon each.
+            const auto light = static_cast<admission::FlowKey>(8 * (i + 2));
+            model.daemons()[i].state.demands = { { 4, { 110, 5 }, { { 8, 100 }, { light, 10 } } } };
+        }
+        model.run(settleTime);
+        for (std::size_t i = 0; i < size; ++i) {
+            CAPTURE(i);
+            CHECK(believedDemand(model, i) == 110 * (size - 1));
+            const auto demands = model.daemons()[i].gossip->demandOfOthers(model.now());
+            REQUIRE(demands.size() == 1);
+            CHECK(demands[0].byPriority[1] == 5 * (size - 1));
+            CHECK(demands[0].flows[0] == admission::FlowDemand { 8, 100 * (size - 1) });
+        }
+        const auto ended = size == 7 ? 1 : findReporter(model);
+        model.stop(ended);
+        model.run(seconds(5));
+        for (std::size_t i = 0; i < size; ++i)
+            CHECK((i == ended || believedDemand(model, i) == 110 * (size - 2)));
+    }
+}
+
+TEST_CASE("a daemon whose clock is ahead leads the clock of the fleet, also through aggregators")
+{
+    for (const std::size_t size : { 7u, 60u }) {
+        FleetModel model(size, 15, smallGroups());
+        model.run(settleTime);
+        fleet::Digest ahead;
+        ahead.incarnation = 999;
+        ahead.sequence = 1;
+        ahead.ip = "10.9.9.8";
+        ahead.region = "region";
+        ahead.fleetTime = model.now().time_since_epoch() + std::chrono::hours(5);
+        model.daemons()[2].gossip->receive(ahead, model.now());
+        model.run(seconds(2));
+        for (const auto& daemon : model.daemons()) {
+            // Messages of the model take at least one step; each hop is behind by that.
+            CHECK(daemon.gossip->fleetClockLead() <= std::chrono::hours(5));
+            CHECK(daemon.gossip->fleetClockLead() >= std::chrono::hours(5) - 3 * FleetModel::stepTime);
+        }
+    }
+}
+
 TEST_CASE("a limit that a runner states to one daemon reaches every daemon of any fleet within a second")
 {
     for (const std::size_t size : { 7u, 60u }) {
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -219,6 +219,43 @@
     CHECK(statementsOf().size() == 1);
 }
 
+TEST_CASE("demand and time of the fleet are decoded as they were encoded, and missing, wrong or excessive ones ignored")
+{
+    auto original = digest("10.0.0.2", 5, 1);
+    original.demands = { { 4, { 300, 0, 20 }, { { 9, 200 }, { 17, 20 } } } };
+    original.fleetTime = milliseconds(7'000'000);
+    auto message = nlohmann::json::from_cbor(fleet::encode(original));
+    const auto decode = [&message] {
+        std::string bytes;
+        nlohmann::json::to_cbor(message, bytes);
+        const auto decoded = fleet::decode(bytes);
+        REQUIRE(decoded);
+        return std::get<Digest>(*decoded);
+    };
+    CHECK(decode().demands == original.demands);
+    CHECK(decode().fleetTime == original.fleetTime);
+    auto& fields = message.at(1);
+    // The remaining work of the runners precedes them.
+    CHECK(fields.at(13) == nlohmann::json::array());
+    fields.at(15) = -4;
+    CHECK_FALSE(decode().fleetTime);
+    fields.at(15) = ~std::uint64_t { 0 } / 4;
+    CHECK_FALSE(decode().fleetTime);
+    auto demand = fields.at(14).at(0);
+    demand.at(1) = std::vector<std::uint64_t>(100, ~std::uint64_t { 0 });
+    demand.at(2) = std::vector<std::uint32_t>(1001, 9);
+    fields.at(14) = std::vector<nlohmann::json>(100, demand);
+    const auto excessive = decode();
+    CHECK(excessive.demands.size() <= 32);
+    CHECK(excessive.demands[0].flows.size() == 12);
+    CHECK(excessive.demands[0].byPriority[0] <= 1'000'000'000);
+    // A daemon of the previous release sends neither.
+    while (fields.size() > 13)
+        fields.erase(fields.size() - 1);
+    CHECK(decode().demands.empty());
+    CHECK_FALSE(decode().fleetTime);
+}
+
 TEST_CASE("crashes before an answer are not told to other daemons")
 {
     const std::vector<dispatch::CrashSuspect> request { { 8 } };
