Admit by urgency and fair shares of work for services that are switched on

Cause: shedding by pressure admits a random part of all requests.

WorkAdmission decides by the share that OrganisationShares grants the flow, by AdmissionWindow, and by the pressure and expected wait of LoadShedder, which does not change for others. OverloadControl uses it for services that are switched on (setWorkAware(), for all or one service); it reports the demand of this daemon, takes that of the others, and logs and counts refusals by verdict. The capacity is the slots, corrected by the pressure, since repeats and queues make the demand an overestimate; the pressure alone limits what is admitted where the demand is not known.

Run: CompetitionReplayTest (9 cases) compiled on its own, OverloadControlTest, LogVocabularyTest, MetricsTest and the tests of src/fleet in the release build; all pass.

--- a/src/admission/LoadShedder.cpp
+++ b/src/admission/LoadShedder.cpp
@@ -28,6 +28,8 @@
         return "overloaded";
     case SheddingVerdict::TooLate:
         return "too-late";
+    case SheddingVerdict::OverShare:
+        return "over-share";
     }
     return "admitted";
 }
@@ -61,22 +63,32 @@
 {
 }
 
-SheddingDecision LoadShedder::decide(const AdmissionRequest& request, const ServiceLoad& load, TimePoint now)
+LoadAssessment LoadShedder::assess(const AdmissionRequest& request, const ServiceLoad& load, TimePoint now)
 {
     updateMean(m_meanObjective, toSeconds(request.latencyObjective));
     adjustBound(load, now);
-    SheddingDecision result;
-    const auto allowed = bound(load);
-    result.pressure = allowed > 0.0 ? load.inFlight / allowed : 0.0;
+    LoadAssessment result;
+    result.bound = bound(load);
+    result.pressure = result.bound > 0.0 ? load.inFlight / result.bound : 0.0;
     advanceBaselineClock(result.pressure, now);
+    result.expectedWait = expectedWait(load);
+    result.largestShare = std::clamp((m_options.fullPressure - result.pressure) / m_options.pressureRamp, 0.0, 1.0);
+    return result;
+}
+
+SheddingDecision LoadShedder::decide(const AdmissionRequest& request, const ServiceLoad& load, TimePoint now)
+{
+    const auto assessment = assess(request, load, now);
+    SheddingDecision result;
+    result.pressure = assessment.pressure;
     auto& flow = flowOf(request.organisation, now);
     const auto work = expectedServiceSeconds(request.route);
     flow.recent.add(work, m_options.recentWindow, now);
     if (m_isBaselineRunning)
         flow.baseline.add(work, m_options.baselineWindow, baselineTime(now));
     result.isSurging = isSurging(flow, work, now);
-    result.expectedWait = expectedWait(load);
-    if (allowed > 0.0 && result.expectedWait >= request.timeLeft) {
+    result.expectedWait = assessment.expectedWait;
+    if (assessment.bound > 0.0 && result.expectedWait >= request.timeLeft) {
         result.verdict = SheddingVerdict::TooLate;
         result.retryAfter = retryAfter(request);
         return result;
@@ -178,10 +190,15 @@
         m_boundFactor = std::min(1.0, m_boundFactor * m_options.boundIncreaseFactor);
 }
 
+Duration LoadShedder::latestRetry(const AdmissionRequest& request) const
+{
+    return std::max(fromSeconds(toSeconds(request.timeLeft) * m_options.retryShare), minimumRetryAfter);
+}
+
 Duration LoadShedder::retryAfter(const AdmissionRequest& request) const
 {
     // Retries are spread from the time in which a slot becomes free to the last moment that leaves time for an answer.
-    const auto latest = std::max(fromSeconds(toSeconds(request.timeLeft) * m_options.retryShare), minimumRetryAfter);
+    const auto latest = latestRetry(request);
     const auto earliest = std::clamp(fromSeconds(m_meanServiceTime), minimumRetryAfter, latest);
     return earliest + fromSeconds(toSeconds(latest - earliest) * request.retryDraw);
 }
--- a/src/admission/LoadShedder.h
+++ b/src/admission/LoadShedder.h
@@ -30,6 +30,8 @@
     double admissionDraw = 0.0;
     /// Random number in [0, 1) that spreads the time of the retry.
     double retryDraw = 0.0;
+    /// Hash of the organisation, target and body, equal for repeats.
+    std::uint64_t hash = 0;
 };
 
 /// @brief Outcome of the decision on one request.
@@ -39,6 +41,8 @@
     Overloaded,
     /// The expected wait reaches the request's deadline.
     TooLate,
+    /// The organisation requests more than its fair share of the service's capacity.
+    OverShare,
 };
 
 std::string_view nameOf(SheddingVerdict verdict);
@@ -58,6 +62,18 @@
     Duration expectedWait {};
 };
 
+/// @brief Load of a service as the shedder judges it.
+struct LoadAssessment {
+    /// Requests in flight at which the service counts as fully loaded.
+    double bound = 0.0;
+    /// Requests in flight over the bound; 0 without slots.
+    double pressure = 0.0;
+    /// Expected wait for a slot.
+    Duration expectedWait {};
+    /// Upper limit of the share of all requests that may be admitted at this pressure.
+    double largestShare = 1.0;
+};
+
 /// @brief Decides which requests of one service to refuse at once while it has more than it can serve in time. Does no
 /// I/O.
 ///
@@ -120,6 +136,14 @@
 
     /// @brief Decides on a request and counts it towards its organisation's work.
     SheddingDecision decide(const AdmissionRequest& request, const ServiceLoad& load, TimePoint now);
+    /// @brief Judges the load for a request, and adjusts the bound.
+    LoadAssessment assess(const AdmissionRequest& request, const ServiceLoad& load, TimePoint now);
+    /// @brief Expected time that a runner takes for a request of a route.
+    double expectedServiceSeconds(std::string_view route) const;
+    /// @brief Mean time that a runner takes for a request; 0 before the first one.
+    double meanServiceSeconds() const { return m_meanServiceTime; }
+    /// @brief Longest time after which a refused caller may be asked to return.
+    Duration latestRetry(const AdmissionRequest& request) const;
     /// @brief Records the time that a runner took to serve a request.
     void recordServiceTime(std::string_view route, Duration time);
     /// @brief Records that the first byte of an answer arrived, or that it will not arrive any more.
@@ -162,7 +186,6 @@
     };
 
     Flow& flowOf(std::string_view organisation, TimePoint now);
-    double expectedServiceSeconds(std::string_view route) const;
     bool isSurging(const Flow& flow, double work, TimePoint now) const;
     Duration expectedWait(const ServiceLoad& load) const;
     void adjustBound(const ServiceLoad& load, TimePoint now);
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -109,6 +109,7 @@
         publish();
     m_fleet.tick(now);
     m_traffic.setPeerSummaries(m_fleet.gossip().summarize(now));
+    m_traffic.setPeerDemand(m_fleet.gossip().demandOfOthers(now), m_fleet.gossip().fleetClockLead());
     if (auto others = m_fleet.gossip().presentIps(now); others != m_otherIps) {
         m_otherIps = others;
         m_traffic.setFleet(std::move(others));
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -144,7 +144,8 @@
 
 fleet::LocalState FleetLink::localState() const
 {
-    return { m_report.states, m_report.crashes, m_report.statements, m_mirror.changeRevision(), provenAt() };
+    return { m_report.states, m_report.crashes, m_report.statements, m_mirror.changeRevision(), provenAt(),
+        m_report.demands };
 }
 
 void FleetLink::send(const std::vector<fleet::Gossip::Outgoing>& outgoing)
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -109,6 +109,13 @@
     asio::post(m_context, [this, summaries = std::move(summaries)] { m_router.setPeerSummaries(summaries); });
 }
 
+void TrafficLoop::setPeerDemand(std::vector<admission::ServiceDemand> demands, Duration clockLead)
+{
+    asio::post(m_context, [this, demands = std::move(demands), clockLead] {
+        m_router.overload().setPeerDemand(demands, clockLead, currentTime());
+    });
+}
+
 void TrafficLoop::mergeCrashRecords(std::vector<dispatch::CrashRecord> records)
 {
     asio::post(m_context, [this, records = std::move(records)] { m_router.mergeCrashRecords(records); });
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -27,6 +27,9 @@
     void setReportListener(ReportListener listener) { m_reportListener = std::move(listener); }
     /// @brief Sets what the other daemons together report of each runner.
     void setPeerSummaries(std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary> summaries);
+    /// @brief Sets the work that the callers of the other daemons request.
+    /// @param clockLead time by which the clock of the fleet is ahead of this daemon's
+    void setPeerDemand(std::vector<admission::ServiceDemand> demands, Duration clockLead);
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::vector<dispatch::CrashRecord> records);
     /// @brief Merges what runners stated of themselves to other daemons.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -95,7 +95,7 @@
     std::string service;
     if (!admission.refusal) {
         service = routing::chooseDestination(*admission.route, draw());
-        admission.refusal = refuseIfOverloaded(*metadata, admission, service, now);
+        admission.refusal = refuseIfOverloaded(*metadata, admission, service, suspects.front().digest, now);
     }
     if (admission.refusal) {
         telemetry::logInfo("request-refused",
@@ -156,8 +156,8 @@
     return result;
 }
 
-std::optional<Router::Refusal> Router::refuseIfOverloaded(
-    const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now)
+std::optional<Router::Refusal> Router::refuseIfOverloaded(const RequestMetadata& metadata, const Admission& admission,
+    const std::string& service, dispatch::RequestDigest digest, TimePoint now)
 {
     admission::AdmissionRequest admissionRequest;
     admissionRequest.organisation = admission.organisation;
@@ -167,6 +167,7 @@
     admissionRequest.timeLeft = effectiveTimeout(*admission.route, metadata);
     admissionRequest.admissionDraw = unitDraw();
     admissionRequest.retryDraw = unitDraw();
+    admissionRequest.hash = digest;
     if (const auto retryAfter = m_overload.refuseIfOverloaded(service, metadata.attemptId, admissionRequest, now))
         return Refusal { status::unavailable, "overloaded", *retryAfter };
     return std::nullopt;
@@ -213,7 +214,8 @@
 
 RunnerReport Router::runnerReport(TimePoint now) const
 {
-    return { runnerStates(now), m_crashes.records(now), recentStatements(now), m_versionHistory.soleVersions(now) };
+    return { runnerStates(now), m_crashes.records(now), recentStatements(now), m_versionHistory.soleVersions(now),
+        m_overload.demand(now) };
 }
 
 std::vector<fleet::RunnerStatement> Router::recentStatements(TimePoint now) const
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -94,6 +94,8 @@
     std::vector<dispatch::CrashRecord> crashRecords(TimePoint now) const { return m_crashes.records(now); }
     /// @brief Replaces what the other daemons report on the load and health of the runners.
     void setPeerSummaries(const std::unordered_map<fleet::RunnerKey, fleet::RunnerSummary>& summaries);
+    /// @brief Decides which requests are refused because of the load of their service.
+    OverloadControl& overload() { return m_overload; }
     /// @brief Merges crash records of other daemons.
     void mergeCrashRecords(std::span<const dispatch::CrashRecord> records);
     /// @brief Merges what runners stated of themselves to other daemons.
@@ -184,8 +186,8 @@
 
     Admission admit(const gateway::HttpRequest& request, const RequestMetadata& metadata, TimePoint now) const;
     /// Refuses a request that its service cannot serve in time.
-    std::optional<Refusal> refuseIfOverloaded(
-        const RequestMetadata& metadata, const Admission& admission, const std::string& service, TimePoint now);
+    std::optional<Refusal> refuseIfOverloaded(const RequestMetadata& metadata, const Admission& admission,
+        const std::string& service, dispatch::RequestDigest digest, TimePoint now);
     /// Records which software sends a stream, and tells the other daemons while several versions may serve.
     void recordOrigins(std::span<const dispatch::StreamOrigin> origins, std::string_view service, TimePoint now);
     /// Gives the origins of all streams to the other daemons.
--- a/src/proxy/RunnerReport.h
+++ b/src/proxy/RunnerReport.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "admission/Demand.h"
 #include "dispatch/CrashRegistry.h"
 #include "fleet/Digest.h"
 #include <vector>
 
 namespace eelgrassford::proxy {
 
-/// @brief What a daemon tells the others about the runners.
+/// @brief What a daemon tells the others about the runners and the demand.
 struct RunnerReport {
     /// Load and health as this daemon sees them.
     std::vector<fleet::RunnerState> states;
@@ -16,6 +17,8 @@
     std::vector<fleet::RunnerStatement> statements;
     /// Versions that alone serve a service, with the time for which that is known.
     std::vector<runners::SoleVersion> soleVersions;
+    /// Work that the callers of this daemon request from services that admit by work.
+    std::vector<admission::ServiceDemand> demands;
 };
 
 }
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -51,6 +51,9 @@
             "Requests that all daemons have under way at the usable runners of a service" },
         { "eelgrassford_service_bound", "Requests under way at which a service counts as fully loaded" },
         { "eelgrassford_service_overloaded", "1 while requests of a service are refused because of its load" },
+        { "eelgrassford_service_demand", "Work that callers request of all daemons, in slots of a service" },
+        { "eelgrassford_service_share", "Share of the requested work that a service admits" },
+        { "eelgrassford_service_lowest_share", "Smallest admitted share of a known organisation and priority" },
         { "eelgrassford_retries_left", "Repeats that the budget of a service allows now" },
         { "eelgrassford_placement_exceptions", "Chats remembered away from their first choice" },
     };
@@ -68,6 +71,7 @@
         { "eelgrassford_fleet_rejected_total", "Datagrams that could not be read" },
         { "eelgrassford_log_dropped_total", "Log lines that standard output did not take in time" },
         { "eelgrassford_runner_connections_total", "Connections opened to runners of a service" },
+        { "eelgrassford_overload_refusals_total", "Requests refused because of the load of a service, by reason" },
         { "eelgrassford_platform_calls_total",
             "Calls to the configuration service and host list, waiting watches included" },
         { "eelgrassford_configuration_conflicts_total", "Offers of the revision in force with other content" },
--- a/tests/admission/CompetitionReplay.cpp
+++ b/tests/admission/CompetitionReplay.cpp
@@ -1,6 +1,8 @@
 #include "admission/CompetitionReplay.h"
 
+#include "admission/WorkAdmission.h"
 #include "common/Hash.h"
+#include "fleet/FleetClock.h"
 #include <algorithm>
 #include <cmath>
 #include <memory>
@@ -38,6 +40,11 @@
 
     struct Daemon {
         std::vector<LoadShedder> shedders;
+        std::vector<admission::WorkAdmission> admissions;
+        /// Time by which the clock of the host differs.
+        Duration offset {};
+        fleet::FleetClock clock;
+        std::vector<admission::ServiceDemand> reported;
         bool isUp = true;
     };
 
@@ -57,6 +64,8 @@
             , m_daemons(load.daemons)
         {
             for (auto& daemon : m_daemons) {
+                daemon.offset = std::chrono::milliseconds(m_random() % 100'000'000);
+                daemon.admissions.resize(load.slots.size());
                 for (std::size_t service = 0; service < load.slots.size(); ++service)
                     daemon.shedders.emplace_back(now());
             }
@@ -68,8 +77,10 @@
             for (; isSending() || isBusy(); ++m_step) {
                 if (m_load.areDaemonsKilled && m_step == toStep(m_load.from + 3.0))
                     killDaemons();
-                for (std::size_t service = 0; service < m_pools.size(); ++service)
-                    endRequests(m_pools[service]);
+                if (m_step % messageSteps == 0)
+                    exchangeMessages();
+                for (auto& pool : m_pools)
+                    endRequests(pool);
                 if (isSending())
                     sendRequests();
                 retryRequests();
@@ -157,7 +168,8 @@
             });
             const auto name = "organisation-" + std::to_string(request.organisation);
             admission::AdmissionRequest candidate { name, kind.name, kind.priority, fromSeconds(kind.objectiveSeconds),
-                fromSeconds(kind.deadlineSeconds - (seconds() - request.firstSentAt)), uniform(), uniform() };
+                fromSeconds(kind.deadlineSeconds - (seconds() - request.firstSentAt)), uniform(), uniform(),
+                request.hash };
             const admission::ServiceLoad load { knownLoad(kind.service), m_load.slots[kind.service] };
             const auto decision = decide(m_daemons[request.daemon], kind.service, candidate, load);
             if (decision.verdict != admission::SheddingVerdict::Admitted) {
@@ -176,7 +188,45 @@
         admission::SheddingDecision decide(Daemon& daemon, std::size_t service,
             const admission::AdmissionRequest& candidate, const admission::ServiceLoad& load)
         {
-            return daemon.shedders[service].decide(candidate, load, now());
+            auto& shedder = daemon.shedders[service];
+            if (!m_load.isWorkAware)
+                return shedder.decide(candidate, load, now());
+            return daemon.admissions[service].decide(
+                candidate, load, shedder, daemon.clock.timeAt(now() + daemon.offset), now());
+        }
+
+        /// Delivers the messages that were sent one message delay ago, and sends the next ones.
+        void exchangeMessages()
+        {
+            const bool isLost = m_load.areMessagesLost && isPattern();
+            for (auto& daemon : m_daemons) {
+                admission::DemandSum others;
+                others.add(m_sentDemand);
+                others.subtract(daemon.reported);
+                const auto demands = others.take(m_load.daemons > 100 ? 12 : 1000);
+                for (std::size_t service = 0; service < m_pools.size(); ++service) {
+                    const auto found = std::find_if(demands.begin(), demands.end(),
+                        [&](const admission::ServiceDemand& demand) { return demand.service == service; });
+                    daemon.admissions[service].shares().setOthers(
+                        isLost || found == demands.end() ? nullptr : &*found, now());
+                }
+                if (!isLost)
+                    daemon.clock.receive(m_sentTime, now() + daemon.offset);
+            }
+            admission::DemandSum sum;
+            for (auto& daemon : m_daemons) {
+                daemon.reported.clear();
+                if (!daemon.isUp)
+                    continue;
+                for (std::size_t service = 0; service < m_pools.size(); ++service) {
+                    daemon.reported.push_back(
+                        daemon.admissions[service].shares().ownDemand(12 / m_pools.size(), now()));
+                    daemon.reported.back().service = static_cast<std::uint32_t>(service);
+                }
+                sum.add(daemon.reported);
+                m_sentTime = std::max(m_sentTime, daemon.clock.timeAt(now() + daemon.offset));
+            }
+            m_sentDemand = sum.take(m_load.daemons > 100 ? 12 : 1000);
         }
 
         double knownLoad(std::size_t service) const
@@ -283,6 +333,9 @@
         std::vector<Daemon> m_daemons;
         std::size_t m_step = 0;
         std::vector<Request> m_returning;
+        /// Sum of the demands that the daemons sent last, and the latest of the times that they stated.
+        std::vector<admission::ServiceDemand> m_sentDemand;
+        Duration m_sentTime {};
         CompetitionReport m_report;
     };
 
--- a/tests/admission/CompetitionReplay.h
+++ b/tests/admission/CompetitionReplay.h
@@ -46,6 +46,10 @@
     /// Amplitude of the load waves, shifted in phase by data centre.
     double wave = 0.0;
     bool areDaemonsKilled = false;
+    /// Whether the daemons share demand and clock and decide by work, or each by pressure alone.
+    bool isWorkAware = true;
+    /// Whether the messages between daemons are lost while the load pattern lasts.
+    bool areMessagesLost = false;
     /// Whether some callers repeat at once or return as told; otherwise all of them leave.
     bool doCallersReturn = true;
     double from = 4.0;
