Admit by work where requests are placed by work

The switch is the same for both: the deployment must tolerate the loss of data centres, or the runners of the service report how long work takes on them.

--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -169,6 +169,7 @@
     admissionRequest.admissionDraw = unitDraw();
     admissionRequest.retryDraw = unitDraw();
     admissionRequest.hash = digest;
+    m_overload.setWorkAware(service, m_placement.isByWork(service, now));
     if (const auto retryAfter = m_overload.refuseIfOverloaded(service, metadata.attemptId, admissionRequest, now))
         return Refusal { status::unavailable, "overloaded", *retryAfter };
     return std::nullopt;
