--- a/src/runners/WorkPlacement.cpp
+++ b/src/runners/WorkPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Hash.h"
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace eelgrassford::runners {
@@ -25,6 +26,7 @@
     const PlacementRequest& request, bool keepsDataCentre, TimePoint now)
 {
     m_candidates.clear();
+    m_dataCentres.clear();
     for (auto* runner : registry.runnersOf(request.service)) {
         if (!canTake(registry, *runner, request, now))
             continue;
@@ -33,8 +35,17 @@
         candidate.load = registry.load(*runner, now);
         candidate.view = remaining.view(static_cast<work::RunnerKey>(runner->identity), now);
         candidate.isLocal = !keepsDataCentre || runner->entry.dataCentre == request.dataCentre;
+        candidate.isReturning = request.affinityKey != 0 && runner->entry.id == request.previousRunner;
+        if (std::find(m_dataCentres.begin(), m_dataCentres.end(), runner->entry.dataCentre) == m_dataCentres.end())
+            m_dataCentres.push_back(runner->entry.dataCentre);
         m_candidates.push_back(candidate);
     }
+    // The other daemons that choose from the same runners send to each about as much as this one.
+    const auto daemons = static_cast<double>(registry.fleet().others.size())
+        / static_cast<double>(keepsDataCentre ? std::max<std::size_t>(1, m_dataCentres.size()) : 1);
+    const auto unreported = daemons * toSeconds(m_options.reportDelay);
+    for (auto& candidate : m_candidates)
+        candidate.expectedLoad = candidate.load + candidate.view.requestRate * unreported;
 }
 
 void WorkPlacement::findWarm(
@@ -47,8 +58,7 @@
     // Deployments have few data centres.
     m_orders.clear();
     for (auto& candidate : m_candidates) {
-        candidate.isWarm = candidate.runner->entry.id == request.previousRunner
-            || hasCopy(request.affinityKey, *candidate.runner, now);
+        candidate.isWarm = candidate.isReturning || hasCopy(request.affinityKey, *candidate.runner, now);
         const auto order = std::find_if(
             m_orders.begin(), m_orders.end(), [&](const Order& each) { return isSameOrder(*each.first, candidate); });
         const auto score = mix64(request.affinityKey, candidate.runner->identity);
@@ -66,10 +76,9 @@
     }
 }
 
-double WorkPlacement::uncachedTokens(
-    const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost) const
+double WorkPlacement::uncachedTokens(const Candidate& candidate, const RequestCost& cost) const
 {
-    if (request.affinityKey != 0 && candidate.runner->entry.id == request.previousRunner)
+    if (candidate.isReturning)
         return 0.0;
     if (candidate.isWarm)
         return std::max(0.0, cost.promptTokens - cost.prefixTokens);
@@ -79,8 +88,8 @@
     return cost.promptTokens;
 }
 
-double WorkPlacement::costOf(const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost,
-    const ServiceProfile& profile) const
+void WorkPlacement::estimate(
+    Candidate& candidate, const PlacementRequest& request, const RequestCost& cost, const ServiceProfile& profile) const
 {
     const auto* runner = candidate.runner;
     const auto load = candidate.load;
@@ -92,13 +101,14 @@
     // The runner's own report covers prompts of daemons that are not heard.
     const auto waiting = std::max(0.0, load - slots) * rates.prefillTokens;
     const auto pending = std::max(view.left.prefillTokens, waiting) * rates.prefillMsPerToken;
-    const auto prefill = uncachedTokens(candidate, request, cost) * rates.prefillMsPerToken;
+    const auto prefill = uncachedTokens(candidate, cost) * rates.prefillMsPerToken;
     const auto weight = cost.isStream ? m_options.outputWeight : 1.0;
     const auto output = weight * cost.outputMs * (1.0 + m_options.batchSlowdown * fill);
-    // Each request there waits while the prompt is computed; a full runner delays as many as it has slots.
-    const auto delayOfOthers = prefill * std::min(1.0, fill);
+    // The events of every request that runs there wait while the prompt is computed.
+    const auto delayOfOthers = m_options.outputWeight * prefill * std::min(load, slots);
     const auto distance = runner->entry.dataCentre == request.dataCentre ? 0.0 : m_options.distanceMs;
-    return (slotWait + pending + prefill + output + delayOfOthers) * view.slowdown + distance
+    candidate.wait = (slotWait + pending + prefill) * view.slowdown;
+    candidate.cost = candidate.wait + (output + delayOfOthers) * view.slowdown + distance
         + m_options.failureCost * runner->failureRate() * toMilliseconds(cost.latencyObjective);
 }
 
@@ -107,7 +117,7 @@
 {
     const double slots = candidate.runner->entry.slots;
     const auto reserved = slots > 1.0 ? std::ceil(slots * m_options.reservedSlots) : 0.0;
-    if (candidate.load + 1.0 > std::min(bound, slots - reserved))
+    if (candidate.expectedLoad + 1.0 > bound || candidate.load + 1.0 > slots - reserved)
         return false;
     return profile.kvCapacityTokens <= 0.0
         || candidate.view.left.residentTokens + cost.residentTokens <= profile.kvCapacityTokens * m_options.memoryShare;
@@ -115,28 +125,32 @@
 
 template <typename Predicate>
 const WorkPlacement::Candidate* WorkPlacement::choose(
-    const PlacementRequest& request, const work::Rates& rates, Predicate isEligible) const
+    const PlacementRequest& request, const RequestCost& cost, Predicate isEligible) const
 {
+    const bool isSharing = request.affinityKey != 0 && cost.prefixTokens >= m_options.minTokensToShare;
     const Candidate* best = nullptr;
+    std::array<std::pair<std::uint64_t, const Candidate*>, 8> drawn {};
+    const auto count = std::min(m_options.choices, drawn.size());
     for (const auto& candidate : m_candidates) {
-        if (isEligible(candidate) && (!best || candidate.cost < best->cost))
-            best = &candidate;
-    }
-    if (!best)
-        return nullptr;
-    const auto limit = best->cost * (1.0 + m_options.marginShare) + rates.eventMs * m_options.marginEvents;
-    const Candidate* chosen = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto& candidate : m_candidates) {
-        if (!isEligible(candidate) || candidate.cost > limit)
+        if (!isEligible(candidate))
             continue;
-        const auto draw = mix64(request.tieBreaker, candidate.runner->identity);
-        if (!chosen || draw > highest) {
-            chosen = &candidate;
-            highest = draw;
+        const bool isPreferred = candidate.isReturning || (isSharing && (candidate.isWarm || candidate.isSecond));
+        if (isPreferred && (!best || candidate.cost < best->cost))
+            best = &candidate;
+        // Keeps the highest draws in descending order.
+        std::pair entry { mix64(request.tieBreaker, candidate.runner->identity), &candidate };
+        for (std::size_t i = 0; i < count; ++i) {
+            if (!drawn[i].second || entry.first > drawn[i].first)
+                std::swap(entry, drawn[i]);
+            if (!entry.second)
+                break;
         }
     }
-    return chosen;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (drawn[i].second && (!best || drawn[i].second->cost < best->cost))
+            best = drawn[i].second;
+    }
+    return best;
 }
 
 Placement WorkPlacement::place(const Registry& registry, const work::RemainingWork& remaining,
@@ -150,29 +164,34 @@
     result.usableRunners = m_candidates.size();
     double total = 0.0;
     for (const auto& candidate : m_candidates)
-        total += candidate.load;
+        total += candidate.expectedLoad;
     result.bound
         = m_options.bound.loadBound * total / static_cast<double>(m_candidates.size()) + m_options.bound.loadMargin;
     if (request.affinityKey != 0)
         findWarm(registry, request, profile.keepsDataCentre, now);
     for (auto& candidate : m_candidates) {
         candidate.hasRoom = hasRoom(candidate, cost, profile, result.bound);
-        candidate.cost = costOf(candidate, request, cost, profile);
+        estimate(candidate, request, cost, profile);
     }
-    const auto isBelowBound = [&](const Candidate& candidate) { return candidate.load + 1.0 <= result.bound; };
+    const auto isBelowBound = [&](const Candidate& candidate) { return candidate.expectedLoad + 1.0 <= result.bound; };
     const bool isAnyWithRoom
         = std::any_of(m_candidates.begin(), m_candidates.end(), [](const Candidate& each) { return each.hasRoom; });
     const auto isEligible = [&](const Candidate& each) { return isAnyWithRoom ? each.hasRoom : isBelowBound(each); };
-    const auto* local
-        = choose(request, profile.rates, [&](const Candidate& each) { return each.isLocal && isEligible(each); });
+    const auto* local = choose(request, cost, [&](const Candidate& each) { return each.isLocal && isEligible(each); });
     const auto* remote
-        = choose(request, profile.rates, [&](const Candidate& each) { return !each.isLocal && isEligible(each); });
+        = choose(request, cost, [&](const Candidate& each) { return !each.isLocal && isEligible(each); });
     const auto* chosen = local ? local : remote;
     if (local && remote) {
         const auto found = m_leavingUntil.find(request.service);
         const bool hasLeft = found != m_leavingUntil.end() && now < found->second;
         const auto objective = toMilliseconds(cost.latencyObjective);
-        const auto gain = local->cost - remote->cost;
+        // What waiting here costs is decided by the best runner, also if it is not drawn.
+        auto lowest = local->wait;
+        for (const auto& candidate : m_candidates) {
+            if (candidate.isLocal && isEligible(candidate))
+                lowest = std::min(lowest, candidate.wait);
+        }
+        const auto gain = lowest - remote->wait;
         if (gain > objective * (hasLeft ? m_options.leftShare : m_options.leavingShare)) {
             chosen = remote;
             if (gain > objective * m_options.leavingShare)
@@ -185,12 +204,12 @@
     result.load = chosen->load;
     const auto& left = chosen->view.left;
     result.work = PlacementWork { chosen->cost, left.prefillTokens * profile.rates.prefillMsPerToken + left.outputMs,
-        chosen->view.slowdown, uncachedTokens(*chosen, request, cost) };
+        chosen->view.slowdown, uncachedTokens(*chosen, cost) };
     if (!chosen->isLocal)
         result.reason = PlacementReason::OtherDataCentre;
     else if (request.affinityKey == 0)
         result.reason = PlacementReason::Balanced;
-    else if (chosen->runner->entry.id == request.previousRunner)
+    else if (chosen->isReturning)
         result.reason = PlacementReason::Returning;
     else
         result.reason = chosen->isWarm ? PlacementReason::Warm : PlacementReason::Spilled;
--- a/src/runners/WorkPlacement.h
+++ b/src/runners/WorkPlacement.h
@@ -57,10 +57,14 @@
     double distanceMs = 5.0;
     /// Cost of a certain failure, in latency objectives.
     double failureCost = 2.0;
-    /// Runners whose cost exceeds the lowest by no more than this part of it, plus a part of the time between events,
-    /// count as equal. Reports are older than many decisions, and daemons that read the same one must not choose alike.
-    double marginShare = 0.05;
-    double marginEvents = 0.5;
+    /// Runners that are compared besides those that probably have the prefix cached. Reports are older than many
+    /// decisions, so daemons that read the same one and all took the best runner would overload it.
+    std::size_t choices = 3;
+    /// Tokens of a shared prefix from which the runners that have it cached are preferred; shorter ones are computed
+    /// sooner than a wait there ends.
+    double minTokensToShare = 512.0;
+    /// Time until this daemon learns of a request of another one.
+    Duration reportDelay = std::chrono::milliseconds(200);
     /// Time for which a runner to which this daemon sent a prefix is assumed to have it cached.
     Duration copyLifetime = std::chrono::seconds(30);
 };
@@ -69,8 +73,9 @@
 ///
 /// The cost of a runner is the wait for a slot, the prompts that are pending there, the request's own uncached prompt,
 /// its output at the speed of the runner, the delay of the requests there by its prompt, failures and distance. The
-/// runner is drawn from those within a margin of the lowest cost. A runner without free slots, memory or room below the
-/// load bound is chosen only if none has room.
+/// best of a few runners that are drawn at random, and of those that have the prefix cached, is chosen. The other
+/// daemons are assumed to send as much to a runner as this one, which is not reported yet. A runner without free slots,
+/// memory or room below the load bound is chosen only if none has room.
 ///
 /// Where requests keep to their data centre, a shared prefix has its own order of the runners of each data centre, so
 /// each holds its own copy.
@@ -94,10 +99,16 @@
     struct Candidate {
         Runner* runner = nullptr;
         double cost = 0.0;
+        /// Time before the first event, in milliseconds.
+        double wait = 0.0;
         double load = 0.0;
+        /// The load with requests of other daemons that are not reported yet.
+        double expectedLoad = 0.0;
         work::RemainingWork::View view;
         bool hasRoom = false;
         bool isLocal = false;
+        /// It served the same session last.
+        bool isReturning = false;
         /// The runner probably has the shared prefix cached.
         bool isWarm = false;
         /// It comes second in the order of the prefix, and gets it if the first one is too busy.
@@ -124,18 +135,20 @@
     /// Finds the candidates that probably have the prefix cached, and the first ones in its order.
     void findWarm(const Registry& registry, const PlacementRequest& request, bool keepsDataCentre, TimePoint now);
     /// Tokens of the prompt that a candidate probably lacks.
-    double uncachedTokens(const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost) const;
-    double costOf(const Candidate& candidate, const PlacementRequest& request, const RequestCost& cost,
+    double uncachedTokens(const Candidate& candidate, const RequestCost& cost) const;
+    /// Computes the cost of a candidate, and the part of it that comes before the first event.
+    void estimate(Candidate& candidate, const PlacementRequest& request, const RequestCost& cost,
         const ServiceProfile& profile) const;
     bool hasRoom(
         const Candidate& candidate, const RequestCost& cost, const ServiceProfile& profile, double bound) const;
     /// The candidate to take of those for which @a isEligible holds; null if there is none.
     template <typename Predicate>
-    const Candidate* choose(const PlacementRequest& request, const work::Rates& rates, Predicate isEligible) const;
+    const Candidate* choose(const PlacementRequest& request, const RequestCost& cost, Predicate isEligible) const;
 
     WorkPlacementOptions m_options;
     /// Reused by all decisions, so that none allocates memory.
     std::vector<Candidate> m_candidates;
+    std::vector<std::string_view> m_dataCentres;
     /// By data centre where requests keep to theirs, otherwise one.
     std::vector<Order> m_orders;
     std::vector<Copy> m_copies;
--- a/src/work/RemainingWork.cpp
+++ b/src/work/RemainingWork.cpp
@@ -27,6 +27,7 @@
     auto& state = m_runners[runner];
     state.own += amount;
     state.usedAt = now;
+    state.requests.add(1.0, m_options.rateWindow, now);
     return { runner, amount };
 }
 
@@ -111,7 +112,7 @@
     if (found == m_runners.end())
         return {};
     const auto& state = found->second;
-    View result { state.own, 1.0 };
+    View result { state.own, 1.0, state.requests.valueAt(m_options.rateWindow, now) / toSeconds(m_options.rateWindow) };
     result.left += state.peers;
     // The learned slowdown includes what a report states once the responses show it.
     const auto fromResponses = learned(state, now);
--- a/src/work/RemainingWork.h
+++ b/src/work/RemainingWork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/DecayingSum.h"
 #include "common/Time.h"
 #include <cstdint>
 #include <unordered_map>
@@ -41,6 +42,8 @@
     /// Share of its trust that a report loses with a contradiction, and regains of what it lacks with each agreement.
     double trustLoss = 0.3;
     double trustGain = 0.05;
+    /// Window over which the rate of this daemon's own requests to a runner is averaged.
+    Duration rateWindow = std::chrono::seconds(1);
     /// Time without events after which the state of a runner is dropped.
     Duration idleLifetime = std::chrono::seconds(60);
 };
@@ -85,6 +88,8 @@
     struct View {
         Amount left;
         double slowdown = 1.0;
+        /// Requests that this daemon lately sent per second.
+        double requestRate = 0.0;
     };
     View view(RunnerKey runner, TimePoint now) const;
     /// @brief Drops the state of runners without work or events for a while.
@@ -104,6 +109,8 @@
         /// Weight of reports in [0, 1].
         double trust = 1.0;
         TimePoint usedAt {};
+        /// Requests that were sent lately.
+        DecayingSum requests;
     };
 
     double decay(const State& state, TimePoint now) const;
