Pace cold runners among all daemons

Cause: a runner that starts cold is the least loaded one for every daemon, so a large fleet together sends it a multiple of what it sustains; nothing knew of cold times.

Entries (coldRemainingMs), responses (X-Cold-Ms), own suspensions for connection failures, suspensions reported by others, the end of an evacuation and new entries without a time extend the time for which a runner counts as cold, in services that state a cold start (coldStartS, coldPerS). The binding exclusion "cold" gives the time of the next request. runners/ColdShare computes the interval between the requests of a daemon: rendezvous hashing chooses at most as many daemons as requests may be sent a second, permits do not add up, and a view of the fleet sends at most half of the bound. A daemon sends cold runners nothing in the 3 s after its first listing. Runners that are known to be cold count as recently added for prefix fetches; suspicions do not. Cold runners do not count as free slots, and requests that a permit serves are not refused for load. Entries of cold runners carry the revision of their item, so that one that states the same time again is passed on, and one that comes again with changes of others does not extend the time.

Unusable values are logged once and ignored, and the rest of the document holds. Values over 10 minutes count as mistakes.

Ruled out: a token bucket as for stated limits, since saved permits exceed the bound within one second; pacing only after two daemons suspend a runner, since a restart that one of them met goes unseen for the others.

--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -581,7 +581,9 @@
             { "{{internalPorts.0}}", std::to_string(fleetPort) }, { "{{limits.linkMbps}}", "1000.0" },
             { "{{bounds.graceS}}", "8" }, { "{{bounds.configApplyMs}}", "2000" }, { "{{bounds.revokeMs}}", "5000" },
             { "{{bounds.retryBudgetRatio}}", "0.2" }, { "{{bounds.budgetExtra}}", "54" },
-            { "{{bounds.budgetWindowS}}", "10" }, { "{{bounds.capMultiplier}}", "2" }
+            { "{{bounds.budgetWindowS}}", "10" }, { "{{bounds.capMultiplier}}", "2" },
+            { "{{#bounds.coldOverage}}cold_overage = {{bounds.coldOverage}}{{/bounds.coldOverage}}", "" },
+            { "{{#bounds.coldSlack}}cold_slack = {{bounds.coldSlack}}{{/bounds.coldSlack}}", "" }
         };
         for (const auto& [from, to] : values) {
             for (auto at = settings.find(from); at != std::string::npos; at = settings.find(from, at + to.size()))
--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -4,6 +4,7 @@
 #include "daemon/EventLoop.h"
 #include "daemon/SystemClock.h"
 #include "telemetry/DecisionLog.h"
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -30,6 +31,13 @@
         return options;
     }
 
+    runners::RunnerEntry withoutColdTime(runners::RunnerEntry entry)
+    {
+        entry.coldRemaining.reset();
+        entry.coldRevision = 0;
+        return entry;
+    }
+
     std::string readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -217,6 +225,11 @@
         { { "revision", configuration->revision }, { "store_revision", store::storeRevisionOf(item.revision) },
             { "routes", static_cast<std::uint64_t>(configuration->routes.size()) },
             { "organisations", static_cast<std::uint64_t>(configuration->organisations.size()) } });
+    for (const auto& service : configuration->services) {
+        if (service.hasUnusableColdStart)
+            telemetry::logWarning(
+                "cold-start-unusable", { { "service", service.name }, { "revision", configuration->revision } });
+    }
     m_traffic.setRoutes(std::make_shared<const routing::RouteTable>(std::move(*configuration)));
 }
 
@@ -232,6 +245,10 @@
             continue;
         auto entry = m_documents.decodeRunner(key, item.value);
         if (entry) {
+            if (entry->coldRemaining > Duration::zero())
+                entry->coldRevision = item.revision;
+            if (entry->hasUnusableColdTime && m_unusableColdTimes.insert(entry->id).second)
+                telemetry::logWarning("cold-time-unusable", { { "runner", entry->id }, { "request", "" } });
             entries.push_back(std::move(*entry));
             continue;
         }
@@ -243,7 +260,8 @@
     m_unreadableRunners = std::move(unreadable);
     if (entries == m_runners && evacuated == m_evacuated)
         return;
-    if (entries != m_runners) {
+    // Cold runners state the time left with each heartbeat.
+    if (!std::ranges::equal(entries, m_runners, {}, withoutColdTime, withoutColdTime)) {
         const auto leaving
             = std::count_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.isLeaving; });
         telemetry::logInfo("runners-changed",
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -67,6 +67,8 @@
     std::set<std::string> m_evacuated;
     /// Revisions of the entries that cannot be read, by key. Each is logged once.
     std::map<std::string, store::Revision> m_unreadableRunners;
+    /// Runners of which an unusable cold time was logged.
+    std::set<std::string> m_unusableColdTimes;
     /// Addresses of the other daemons that the traffic loop was told of.
     std::vector<std::string> m_otherIps;
     /// Time of the newest freshness proof of the configuration, from the store or from another daemon.
--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -131,6 +131,8 @@
     settings.retryWindow
         = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, maxSeconds));
     settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
+    settings.coldOverage = reader.number("runners.cold_overage", settings.coldOverage, 0, 100);
+    settings.coldSlack = reader.number("runners.cold_slack", settings.coldSlack, 0, 1e6);
     if (!reader.errors().empty())
         return tl::unexpected(SettingsError { reader.errors() });
     return settings;
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -47,6 +47,10 @@
     Duration retryWindow = std::chrono::seconds(10);
     /// Largest permitted load of a runner, as a multiple of the mean load.
     double loadBound = 2.0;
+    /// Requests that a cold runner may get within any second: this multiple of the rate that it sustains, and this
+    /// number besides.
+    double coldOverage = 1.0;
+    double coldSlack = 0.0;
 };
 
 /// @brief A settings file that cannot be used.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -43,6 +43,8 @@
         options.retryBudget.window = settings.retryWindow;
         options.callerPort = settings.callerAddress.port;
         options.placement.loadBound = settings.loadBound * placementBoundShare;
+        options.registry.coldShare.overage = settings.coldOverage;
+        options.registry.coldShare.slack = settings.coldSlack;
         return options;
     }
 
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -78,7 +78,12 @@
     bool isLeaving = false;
     /// Time for which the runner that refused the request wants no others from this daemon; empty if it states none.
     std::optional<Duration> pause;
-    /// The runner stated such a time that cannot be used as it is: it is ignored, or limited to the longest one.
+    /// Time for which the runner stays cold; empty if it states none.
+    std::optional<Duration> coldRemaining;
+    /// The runner stated such a time that cannot be used: it is ignored.
+    bool hasUnusableColdTime = false;
+    /// The runner stated such a time for which it wants no requests that cannot be used as it is: it is ignored, or
+    /// limited to the longest one.
     bool hasUnusablePause = false;
 };
 
--- a/src/proxy/OverloadControl.cpp
+++ b/src/proxy/OverloadControl.cpp
@@ -41,8 +41,9 @@
 bool OverloadControl::hasRateRoom(std::string_view service, TimePoint now) const
 {
     const auto runners = m_registry.runnersOf(service);
-    return std::any_of(runners.begin(), runners.end(),
-        [&](const runners::Runner* runner) { return runner->rateShare && m_registry.isUsable(*runner, now); });
+    return std::any_of(runners.begin(), runners.end(), [&](const runners::Runner* runner) {
+        return (runner->rateShare || runner->isCold(now)) && m_registry.isUsable(*runner, now);
+    });
 }
 
 void OverloadControl::recordFirstByte(const std::string& service, bool isLate, TimePoint now)
@@ -97,8 +98,8 @@
     service.loadRefreshedAt = now;
     service.load = {};
     for (const auto* runner : m_registry.runnersOf(name)) {
-        // Free slots of a runner that limits its rate are of no use to requests that exceed the limit.
-        if (!m_registry.isUsable(*runner, now) || runner->rateShare)
+        // Free slots of a runner whose rate is limited are of no use to requests that exceed the limit.
+        if (!m_registry.isUsable(*runner, now) || runner->rateShare || runner->isCold(now))
             continue;
         const double slots = runner->entry.slots;
         service.load.slots += slots;
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -299,6 +299,8 @@
         const auto found = summaries.find(static_cast<fleet::RunnerKey>(runner->identity));
         const auto summary = found == summaries.end() ? fleet::RunnerSummary {} : found->second;
         m_registry.setPeerSummary(*runner, { summary.inFlight, summary.served, summary.failed, summary.suspendedBy });
+        if (summary.suspendedBy > 0)
+            m_registry.recordSuspectedRestart(*runner, m_clock());
     }
 }
 
@@ -337,6 +339,7 @@
 void Router::setOptions(const RouterOptions& options)
 {
     m_options = options;
+    m_registry.setColdShare(options.registry.coldShare);
     for (auto& [service, budget] : m_budgets)
         budget.setOptions(options.retryBudget);
 }
@@ -374,6 +377,7 @@
     m_crashes.tick(now);
     m_overload.sweep(now);
     logPath(now);
+    logColdRunners(now);
     if (isPathLost())
         probePath();
     for (auto& [ip, pool] : m_daemonPools)
@@ -470,6 +474,7 @@
         m_metrics.setTotal(
             "eelgrassford_runner_connections_total", static_cast<double>(count), { { "service", service } });
     m_overload.updateMetrics(m_metrics, now);
+    updateColdMetrics(now);
     for (auto& [service, budget] : m_budgets)
         m_metrics.setGauge("eelgrassford_retries_left", budget.remaining(now), { { "service", service } });
 }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -79,10 +79,11 @@
     /// @brief Refuses a request of a caller, or relays it to a runner.
     void handle(gateway::HttpRequest request, const std::shared_ptr<gateway::Responder>& responder);
 
-    /// @brief Replaces the options, except those of the registry, the prompt index, the log and open connection pools.
+    /// @brief Replaces the options, except those of the registry apart from the share of cold runners, the prompt
+    /// index, the log and open connection pools.
     void setOptions(const RouterOptions& options);
     /// @brief Replaces the configuration for new requests; requests in flight keep the one they were admitted with.
-    void setRoutes(std::shared_ptr<const routing::RouteTable> routes) { m_routes = std::move(routes); }
+    void setRoutes(std::shared_ptr<const routing::RouteTable> routes);
     /// @brief Replaces the list of runners and closes the connections of removed or restarted ones.
     void setRunners(std::span<const runners::RunnerEntry> entries);
     /// @brief Replaces the names of the data centres that are out of service. Their runners get no request, and those
@@ -151,6 +152,12 @@
     /// Logs that a runner asks for a pause, and sends the requests elsewhere that wait for a connection to it.
     /// @param request attempt id of the request that it refused
     void onRunnerPaused(const runners::Runner& runner, std::string_view request, TimePoint now);
+    /// Records what a response of a runner states about its being cold.
+    /// @param request attempt id of the request whose response said so
+    void recordColdStatement(runners::Runner& runner, const ResponseMetadata& metadata, std::string_view request);
+    /// Logs the runners that became cold since the last call.
+    void logColdRunners(TimePoint now);
+    void updateColdMetrics(TimePoint now);
     /// Sends the requests elsewhere that wait for a connection to a runner.
     void recallRequests(std::string_view runner, std::string_view reason);
     /// Requests whose current attempt is at a runner.
@@ -273,6 +280,8 @@
     /// Set once a graceful stop has begun.
     std::optional<StopAdmission> m_stop;
     telemetry::LineBudget m_routineLines;
+    /// Services of which it was logged that entries of runners lack the cold time.
+    std::set<std::string> m_coldTimeMissing;
     /// Newest time at which the configuration in force was proven to be current.
     std::optional<TimePoint> m_confirmedAt;
     TimePoint m_startedAt;
--- a/src/proxy/RouterStreams.cpp
+++ b/src/proxy/RouterStreams.cpp
@@ -81,8 +81,8 @@
 {
     survey->begunAt = now;
     for (auto* runner : m_registry.runnersOf(service)) {
-        // Nothing is asked of runners that are out of service.
-        if (!m_registry.isSoftwareCertain(*runner, now) || runner->evacuatedSince)
+        // Nothing is asked of runners that are out of service, nor of cold ones, which have no caches.
+        if (!m_registry.isSoftwareCertain(*runner, now) || runner->evacuatedSince || runner->isCold(now))
             continue;
         ++survey->unanswered;
         const auto body = std::make_shared<std::string>();
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -149,6 +149,8 @@
         execute(RelayStep::FailUnknown, "no runner is left");
     else if (m_placement.awaited == runners::Exclusion::Paused)
         execute(RelayStep::RefuseNotRun, "all runners ask for a pause");
+    else if (m_placement.awaited == runners::Exclusion::Cold)
+        execute(RelayStep::RefuseNotRun, "all runners are cold");
     else if (m_placement.availableAt)
         execute(RelayStep::RefuseNotRun, "the rate limits of all runners are used up");
     else if (m_software)
@@ -249,6 +251,7 @@
                 { "used_ms", metadata.pause ? toMilliseconds(*metadata.pause) : 0.0 } });
     if (metadata.pause && m_router.m_registry.recordPause(runner, *metadata.pause, now))
         m_router.onRunnerPaused(runner, m_admitted.metadata.attemptId, now);
+    m_router.recordColdStatement(runner, metadata, m_admitted.metadata.attemptId);
     if (metadata.isLeaving && m_router.m_registry.recordLeaving(runner, now))
         m_router.onRunnerLeaving(runner, m_admitted.metadata.attemptId, now);
 }
--- a/src/proxy/SessionOutcome.cpp
+++ b/src/proxy/SessionOutcome.cpp
@@ -15,15 +15,20 @@
     /// Part of the time left within which a caller is asked to come back; callers wait no longer than a third.
     constexpr double retryShareOfTimeLeft = 0.33;
 
+    const char* reasonOfWait(std::optional<runners::Exclusion> awaited)
+    {
+        if (awaited == runners::Exclusion::Paused)
+            return "runners-paused";
+        return awaited == runners::Exclusion::Cold ? "runners-cold" : "rate-limited";
+    }
+
 }
 
 void Session::answerNotRun(std::string_view detail)
 {
     Router::Refusal refusal { status::unavailable, "no-runner", m_router.withJitter(retryAfterNoRunner) };
     if (m_placement.availableAt) {
-        const bool isPaused = m_placement.awaited == runners::Exclusion::Paused;
-        refusal = { status::unavailable, isPaused ? "runners-paused" : "rate-limited",
-            retryAfterAvailable(m_router.now()) };
+        refusal = { status::unavailable, reasonOfWait(m_placement.awaited), retryAfterAvailable(m_router.now()) };
     } else if (m_admitted.metadata.isContinuation && !m_originEvidence.empty())
         refusal = { status::unavailable, m_software ? "no-runner-of-version" : "unknown-stream",
             m_router.withJitter(retryAfterNoVersion) };
--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -62,6 +62,12 @@
     std::string name;
     /// Whether its upstreams are model-serving engines, which cache prompts.
     bool isModel = false;
+    /// Time for which an upstream is cold after its start; 0 if the service has no cold upstreams.
+    Duration coldStart {};
+    /// Requests per second that a cold upstream sustains.
+    double coldRequestsPerSecond = 0.0;
+    /// What the service states of its cold start cannot be used; it has none then.
+    bool hasUnusableColdStart = false;
 };
 
 /// @brief An organisation and the credentials of its callers.
--- a/src/runners/Availability.cpp
+++ b/src/runners/Availability.cpp
@@ -1,5 +1,6 @@
 #include "runners/Availability.h"
 
+#include <algorithm>
 #include <array>
 
 namespace eelgrassford::runners {
@@ -43,6 +44,18 @@
         return Availability { {}, runner.rateShare->availableAt(), runner.limit.statedAt };
     }
 
+    std::optional<Availability> findCold(const Runner& runner, const AvailabilityOptions&, TimePoint now)
+    {
+        if (!runner.isCold(now))
+            return std::nullopt;
+        if (!runner.coldInterval)
+            return Availability { {}, runner.coldUntil, {} };
+        const auto next = std::max(runner.lastDispatchAt + *runner.coldInterval, runner.coldRequestsFrom);
+        if (now >= next)
+            return std::nullopt;
+        return Availability { {}, std::min(next, runner.coldUntil), {} };
+    }
+
     std::optional<Availability> findSuspended(const Runner& runner, const AvailabilityOptions&, TimePoint now)
     {
         if (now >= runner.suspendedUntil)
@@ -84,6 +97,7 @@
         Rule { Exclusion::Evacuated, "evacuated", true, findEvacuated },
         Rule { Exclusion::Paused, "paused", true, findPaused },
         Rule { Exclusion::RateLimited, "rate-limited", true, findRateLimited },
+        Rule { Exclusion::Cold, "cold", true, findCold },
         Rule { Exclusion::Suspended, "suspended", false, findSuspended },
         Rule { Exclusion::OnProbation, "probation", false, findOnProbation },
         Rule { Exclusion::SuspendedByPeers, "suspended-by-peers", false, findSuspendedByPeers },
--- a/src/runners/Availability.h
+++ b/src/runners/Availability.h
@@ -18,6 +18,8 @@
     Paused,
     /// This daemon's share of the request rate that it accepts is used up.
     RateLimited,
+    /// It is cold, and this daemon may send it nothing yet.
+    Cold,
     /// This daemon suspends it after failures.
     Suspended,
     /// It was suspended, and gets one request at a time until it serves one.
@@ -29,7 +31,7 @@
 std::string_view nameOf(Exclusion exclusion);
 
 /// Number of exclusions, whose values begin at 0.
-constexpr std::size_t exclusionCount = 8;
+constexpr std::size_t exclusionCount = 9;
 
 /// @brief Whether a runner may get a request, and if not, why and until when.
 struct Availability {
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -53,10 +53,12 @@
     }
     std::erase_if(
         m_unlistedLeaving, [&](const auto& leaving) { return now - leaving.second > m_options.leavingMemory; });
+    const bool isFirstListing = !m_firstListedAt;
     if (!m_firstListedAt && !entries.empty())
         m_firstListedAt = now;
     for (const auto& entry : entries) {
         auto& runner = m_runners[entry.id];
+        const bool isNew = !runner;
         if (!runner) {
             runner = std::make_unique<Runner>();
             runner->identity = hash64(entry.id, entry.startedAtMs);
@@ -66,7 +68,14 @@
             if (const auto leaving = m_unlistedLeaving.extract(runner->identity))
                 runner->statedLeavingAt = leaving.mapped();
         }
+        const bool isStatedAnew = isNew || entry.coldRevision != runner->entry.coldRevision
+            || entry.coldRemaining != runner->entry.coldRemaining;
         runner->entry = entry;
+        setColdStart(*runner);
+        if (entry.coldRemaining && isStatedAnew)
+            extendCold(*runner, now + *entry.coldRemaining, ColdEvidence::Listed, now);
+        else if (isNew && !isFirstListing && runner->coldStart)
+            extendCold(*runner, now + runner->coldStart->length, ColdEvidence::NewEntry, now);
         if (!entry.isLeaving)
             runner->listedLeavingSince.reset();
         else if (!runner->listedLeavingSince)
@@ -100,12 +109,75 @@
             }
             runner->evacuatedSince.reset();
             runner->cacheLostAt = now;
+            if (runner->coldStart)
+                extendCold(*runner, now + runner->coldStart->length + m_options.returnListingTime,
+                    ColdEvidence::Returned, now);
         }
         changes.push_back(std::move(change));
     }
     return changes;
 }
 
+void Registry::setColdStarts(std::map<std::string, ColdStart, std::less<>> coldStarts)
+{
+    m_coldStarts = std::move(coldStarts);
+    for (const auto& [id, runner] : m_runners)
+        setColdStart(*runner);
+}
+
+void Registry::setColdStart(Runner& runner)
+{
+    const auto found = m_coldStarts.find(runner.entry.service);
+    runner.coldStart = found == m_coldStarts.end() ? std::nullopt : std::optional(found->second);
+    updateColdInterval(runner);
+}
+
+void Registry::setColdShare(const ColdShareOptions& options)
+{
+    m_options.coldShare = options;
+    for (const auto& [id, runner] : m_runners)
+        updateColdInterval(*runner);
+}
+
+void Registry::recordCold(Runner& runner, Duration remaining, TimePoint now)
+{
+    extendCold(runner, now + remaining, ColdEvidence::Response, now);
+}
+
+void Registry::recordSuspectedRestart(Runner& runner, TimePoint now)
+{
+    if (runner.coldStart)
+        extendCold(runner, now + runner.coldStart->length, ColdEvidence::PeerSuspension, now);
+}
+
+void Registry::extendCold(Runner& runner, TimePoint until, ColdEvidence evidence, TimePoint now)
+{
+    if (until <= runner.coldUntil || until <= now)
+        return;
+    const bool wasCold = runner.isCold(now);
+    runner.coldUntil = until;
+    runner.coldRequestsFrom = m_firstListedAt.value_or(now) + m_options.coldSettlingTime;
+    if (!runner.coldStart)
+        return;
+    if (!wasCold)
+        runner.coldSince = now;
+    // A suspension is no proof that the cached prompts are lost.
+    const bool isProof = evidence != ColdEvidence::OwnSuspension && evidence != ColdEvidence::PeerSuspension;
+    if (isProof && (!runner.cacheLostAt || *runner.cacheLostAt < runner.coldSince))
+        runner.cacheLostAt = now;
+    if (wasCold)
+        return;
+    updateColdInterval(runner);
+    m_coldNews.push_back({ runner.entry.id, evidence });
+}
+
+void Registry::updateColdInterval(Runner& runner) const
+{
+    runner.coldInterval = runner.coldStart
+        ? coldInterval(runner.coldStart->requestsPerSecond, runner.identity, m_fleet, m_options.coldShare)
+        : std::nullopt;
+}
+
 Runner* Registry::find(std::string_view id)
 {
     const auto found = m_runners.find(id);
@@ -148,6 +220,7 @@
 {
     if (runner.ownLoad++ == 0)
         runner.lastActivityAt = now;
+    runner.lastDispatchAt = now;
     if (std::exchange(runner.isReturning, false))
         runner.returnsAt = now + m_options.returnInterval;
     if (!runner.rateShare)
@@ -311,8 +384,11 @@
 void Registry::setFleet(FleetView fleet, TimePoint now)
 {
     m_fleet = std::move(fleet);
-    for (const auto& [id, runner] : m_runners)
+    for (const auto& [id, runner] : m_runners) {
         updateRateShare(*runner, now);
+        if (runner->isCold(now))
+            updateColdInterval(*runner);
+    }
 }
 
 void Registry::updateRateShare(Runner& runner, TimePoint now) const
@@ -331,7 +407,12 @@
 
 bool Registry::suspendForConnectionFailures(Runner& runner, TimePoint now)
 {
-    if (!suspend(runner, runner.nextSuspension, now))
+    const bool isSuspended = suspend(runner, runner.nextSuspension, now);
+    // It may have restarted, also if too many others are suspended already.
+    if (runner.coldStart)
+        extendCold(
+            runner, std::max(now, runner.suspendedUntil) + runner.coldStart->length, ColdEvidence::OwnSuspension, now);
+    if (!isSuspended)
         return false;
     runner.nextSuspension = std::min(runner.nextSuspension * 2, m_options.longestSuspension);
     return true;
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "runners/Availability.h"
+#include "runners/ColdShare.h"
 #include "runners/LimitShare.h"
 #include "runners/Runner.h"
 #include <functional>
@@ -11,6 +12,7 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace eelgrassford::runners {
@@ -52,6 +54,12 @@
     Duration returnInterval = std::chrono::milliseconds(250);
     /// Time after a refused connection within which the listing shows that a runner has restarted.
     Duration restartListingTime = std::chrono::seconds(3);
+    ColdShareOptions coldShare;
+    /// Time after the first listing in which a daemon sends nothing to cold runners, until it knows the other daemons.
+    Duration coldSettlingTime = std::chrono::seconds(3);
+    /// Time after the end of an evacuation until the entries of the runners show that they are cold: a heartbeat and
+    /// its propagation.
+    Duration returnListingTime = std::chrono::milliseconds(1500);
     /// Age beyond which a reported load is ignored.
     Duration reportLifetime = std::chrono::milliseconds(1000);
 };
@@ -80,6 +88,24 @@
     /// @return what changed
     std::vector<EvacuationChange> setEvacuated(const std::set<std::string>& dataCentres, TimePoint now);
 
+    /// @brief Replaces the cold starts of the services, by name. Services without one have no cold runners.
+    void setColdStarts(std::map<std::string, ColdStart, std::less<>> coldStarts);
+    /// @brief Replaces how the daemons share the rate of cold runners.
+    void setColdShare(const ColdShareOptions& options);
+    /// @brief Records that a response of a runner states that it is cold.
+    void recordCold(Runner& runner, Duration remaining, TimePoint now);
+    /// @brief Records that other daemons suspend a runner, which may have restarted without having been seen to.
+    void recordSuspectedRestart(Runner& runner, TimePoint now);
+    /// @brief Why a runner counts as cold.
+    enum class ColdEvidence { Listed, Response, NewEntry, OwnSuspension, PeerSuspension, Returned };
+    /// @brief A runner that was not cold before.
+    struct ColdNews {
+        std::string runner;
+        ColdEvidence evidence = ColdEvidence::Listed;
+    };
+    /// @brief Runners that became cold since the last call.
+    std::vector<ColdNews> takeColdNews() { return std::exchange(m_coldNews, {}); }
+
     /// @return the runner, or null if none is listed under this id
     Runner* find(std::string_view id);
     /// @brief Whether a runner can be trusted to run the software that its entry states. One that refused connections
@@ -162,6 +188,10 @@
     /// @brief Remembers that a runner that is removed from the listing stated that it leaves.
     void rememberLeaving(const Runner& runner);
     bool replaceLimit(Runner& runner, const StatedLimit& limit, TimePoint now);
+    /// @brief Extends the time for which a runner counts as cold.
+    void extendCold(Runner& runner, TimePoint until, ColdEvidence evidence, TimePoint now);
+    void setColdStart(Runner& runner);
+    void updateColdInterval(Runner& runner) const;
     /// @brief Computes this daemon's share of the limit of a runner.
     void updateRateShare(Runner& runner, TimePoint now) const;
     /// @brief Mean failure rate of the other runners of the same service.
@@ -176,6 +206,8 @@
     std::map<std::uint64_t, TimePoint> m_unlistedLeaving;
     std::map<std::string, std::vector<Runner*>, std::less<>> m_byService;
     std::set<std::string> m_evacuated;
+    std::map<std::string, ColdStart, std::less<>> m_coldStarts;
+    std::vector<ColdNews> m_coldNews;
 };
 
 }
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "common/Time.h"
+#include "runners/ColdShare.h"
 #include "runners/StatedLimit.h"
 #include "runners/TokenBucket.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace eelgrassford::runners {
@@ -24,6 +26,13 @@
     std::uint64_t startedAtMs = 0;
     /// Version of its software, apart from that of the weights that it serves; empty if not stated.
     std::string version;
+    /// Time for which it stays cold as stated with this entry; empty if that is not stated, or not usable.
+    std::optional<Duration> coldRemaining {};
+    /// Revision of the entry if it states that the runner is cold, otherwise 0: an entry that is written again states
+    /// anew what it states.
+    std::uint64_t coldRevision = 0;
+    /// The time that it states cannot be used.
+    bool hasUnusableColdTime = false;
     bool operator==(const RunnerEntry&) const = default;
 };
 
@@ -126,6 +135,19 @@
     /// Last time at which it is known to have lost its cached prompts without a new listing.
     std::optional<TimePoint> cacheLostAt;
 
+    /// Cold start of its service; empty if the service has none, and then the runner is never cold.
+    std::optional<ColdStart> coldStart;
+    /// Time until which it is, or may be, cold, and time at which it was last found to be so.
+    TimePoint coldUntil {};
+    TimePoint coldSince {};
+    /// Shortest time between requests of this daemon while it is cold; empty to send none.
+    std::optional<Duration> coldInterval;
+    /// Time from which this daemon sends to cold runners.
+    TimePoint coldRequestsFrom {};
+    TimePoint lastDispatchAt {};
+    /// An unusable time for which it is cold was logged.
+    bool isUnusableColdTimeLogged = false;
+
     /// End of the pause that it asked for, when it refused requests, and time of the response that did so last.
     TimePoint pausedUntil {};
     std::optional<TimePoint> pausedAt;
@@ -138,6 +160,7 @@
 
     /// @brief Whether it is about to stop, as the platform lists or as it stated itself.
     bool isLeaving() const { return entry.isLeaving || statedLeavingAt; }
+    bool isCold(TimePoint now) const { return coldStart && now < coldUntil; }
     /// @brief Requests in flight from all daemons, as the daemons count them.
     std::uint32_t knownLoad() const { return ownLoad + peerLoad; }
     /// @brief Served and failed requests of all daemons, decayed.
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -44,6 +44,7 @@
         { "eelgrassford_store_reader", "1 when this daemon reads the store itself" },
         { "eelgrassford_runners", "Runners of a service by state" },
         { "eelgrassford_limited_runners", "Runners of a service that limit their request rates" },
+        { "eelgrassford_cold_runners", "Runners of a service with a cold start that are, or may be, cold" },
         { "eelgrassford_evacuated_data_centres", "Data centres that the operator took out of service" },
         { "eelgrassford_store_era", "Era that the store states, which rises when it is restored; 0 without" },
         { "eelgrassford_path_lost", "1 while this daemon reaches no runner, though they serve other daemons" },
--- a/tests/edge/RelaySettingsTest.cpp
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -46,6 +46,17 @@
     CHECK(changed->configurationDeadline == std::chrono::seconds(4));
 }
 
+TEST_CASE("the requests that a cold runner may get can be set")
+{
+    CHECK(edge::parseRelaySettings(settings)->coldOverage == 1.0);
+    CHECK(edge::parseRelaySettings(settings)->coldSlack == 0.0);
+    const auto changed = edge::parseRelaySettings(settings + "[runners]\ncold_overage = 1.5\ncold_slack = 5\n");
+    REQUIRE(changed);
+    CHECK(changed->coldOverage == 1.5);
+    CHECK(changed->coldSlack == 5.0);
+    CHECK_FALSE(edge::parseRelaySettings(settings + "[runners]\ncold_slack = -1\n"));
+}
+
 TEST_CASE("an invalid setting is refused with its name, its value and what is allowed")
 {
     const auto address = edge::parseRelaySettings(withReplaced("10.0.0.1:80", "nowhere"));
--- a/tests/platform/StoreDocumentCodecTest.cpp
+++ b/tests/platform/StoreDocumentCodecTest.cpp
@@ -46,6 +46,44 @@
     CHECK(result->limits.idleTimeout == std::chrono::seconds(15));
 }
 
+// Guards against a mistake in one value that takes a runner or the whole configuration out of effect.
+TEST_CASE("cold times and cold starts that cannot be used are ignored, and the rest of the document holds")
+{
+    const platform::StoreDocumentCodec codec;
+    const auto decode = [&](const std::string& value) {
+        std::string text = runner;
+        const std::string stated = "\"coldRemainingMs\":0";
+        text.replace(text.find(stated), stated.size(), value);
+        const auto entry = codec.decodeRunner("servers/r", text);
+        REQUIRE(entry);
+        return *entry;
+    };
+    CHECK(decode("\"coldRemainingMs\":2750.5").coldRemaining == std::chrono::microseconds(2750500));
+    CHECK(decode("\"coldRemainingMs\":0").coldRemaining == Duration::zero());
+    CHECK_FALSE(decode("\"x\":0").hasUnusableColdTime);
+    for (const char* value : { "-1", "1e12", "\"3000\"", "null" }) {
+        const auto entry = decode(std::string("\"coldRemainingMs\":") + value);
+        CHECK(entry.hasUnusableColdTime);
+        CHECK_FALSE(entry.coldRemaining);
+    }
+    const auto service = [&](const std::string& values) {
+        std::string text = configuration;
+        const std::string name = R"({"name":"s-2")";
+        text.replace(text.find(name), name.size(), name + values);
+        const auto result = codec.decodeConfiguration(text);
+        REQUIRE(result);
+        return result->services[1];
+    };
+    CHECK(service(R"(,"coldStartS":3,"coldPerS":10)").coldStart == std::chrono::seconds(3));
+    CHECK(service(R"(,"coldStartS":3,"coldPerS":10)").coldRequestsPerSecond == 10.0);
+    CHECK_FALSE(service(R"(,"coldStartS":0)").hasUnusableColdStart);
+    for (const char* values : { R"(,"coldStartS":-3,"coldPerS":10)", R"(,"coldStartS":3)",
+             R"(,"coldStartS":"3","coldPerS":10)", R"(,"coldStartS":3,"coldPerS":-1)" }) {
+        CHECK(service(values).hasUnusableColdStart);
+        CHECK(service(values).coldStart == Duration::zero());
+    }
+}
+
 // Guards against an evacuation that is missed because its key, which is no document, looks like any other one.
 TEST_CASE("a key that evacuates a data centre names it; other keys, and one without a name, evacuate none")
 {
--- a/tests/runners/AvailabilityTest.cpp
+++ b/tests/runners/AvailabilityTest.cpp
@@ -81,6 +81,7 @@
     CHECK(nameOf(Exclusion::Evacuated) == "evacuated");
     CHECK(nameOf(Exclusion::Paused) == "paused");
     CHECK(nameOf(Exclusion::RateLimited) == "rate-limited");
+    CHECK(nameOf(Exclusion::Cold) == "cold");
     CHECK(nameOf(Exclusion::Suspended) == "suspended");
     CHECK(nameOf(Exclusion::OnProbation) == "probation");
     CHECK(nameOf(Exclusion::SuspendedByPeers) == "suspended-by-peers");
