--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -154,6 +154,8 @@
     settings.limits.descriptors = reader.optionalNumber("memory.max_descriptors", minDescriptors, maxDescriptors);
     settings.limits.minBytesPerSecond
         = reader.number("memory.min_bytes_per_second", settings.limits.minBytesPerSecond, 0, maxMinTransferRate);
+    settings.coldOverage = reader.number("runners.cold_overage", settings.coldOverage, 0, 100);
+    settings.coldSlack = reader.number("runners.cold_slack", settings.coldSlack, 0, 1e6);
     if (!reader.errors().empty())
         return tl::unexpected(SettingsError { reader.errors() });
     return settings;
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -53,6 +53,10 @@
     std::uint32_t toleratedDataCentreLosses = 0;
     /// Memory and descriptors of this process.
     LimitSettings limits;
+    /// Requests that a cold runner may get within any second: this multiple of the rate that it sustains, and this
+    /// number besides.
+    double coldOverage = 1.0;
+    double coldSlack = 0.0;
 };
 
 /// @brief A settings file that cannot be used.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -56,6 +56,8 @@
         options.placement.toleratedDataCentreLosses = settings.toleratedDataCentreLosses;
         options.responseBufferLimit
             = std::min(options.responseBufferLimit, callerBudgetOf(settings).bytes / responsePart);
+        options.registry.coldShare.overage = settings.coldOverage;
+        options.registry.coldShare.slack = settings.coldSlack;
         return options;
     }
 
--- a/src/routing/Configuration.h
+++ b/src/routing/Configuration.h
@@ -68,6 +68,12 @@
     std::uint64_t kvCapacityTokens = 0;
     /// Output tokens in one event of a stream.
     std::uint32_t tokensPerEvent = 1;
+    /// Time for which an upstream is cold after its start; 0 if the service has no cold upstreams.
+    Duration coldStart {};
+    /// Requests per second that a cold upstream sustains.
+    double coldRequestsPerSecond = 0.0;
+    /// What the service states of its cold start cannot be used; it has none then.
+    bool hasUnusableColdStart = false;
 };
 
 /// @brief An organisation and the credentials of its callers.
