Look at other data centres only if the wait here allows it

Cause: a decision by work among 140 runners took 31 us in the median, and the target is 20 us. It computed powers and the cost of every runner, also of those of other data centres, which most requests never reach.

Ruled out: keeping views for some milliseconds; a daemon that decides ten times a second would have to compute them anew each time.

Change: a reported slowdown decays linearly in its excess over 1 and needs no power. Runners of other data centres are looked at only if the lowest wait here exceeds the smallest gain for which a request leaves, or none here has room.

--- a/src/runners/WorkPlacement.cpp
+++ b/src/runners/WorkPlacement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace eelgrassford::runners {
 
@@ -33,8 +34,9 @@
         Candidate candidate;
         candidate.runner = runner;
         candidate.load = registry.load(*runner, now);
-        candidate.view = remaining.view(static_cast<work::RunnerKey>(runner->identity), now);
         candidate.isLocal = !keepsDataCentre || runner->entry.dataCentre == request.dataCentre;
+        if (candidate.isLocal)
+            candidate.view = remaining.view(static_cast<work::RunnerKey>(runner->identity), now);
         candidate.isReturning = request.affinityKey != 0 && runner->entry.id == request.previousRunner;
         if (std::find(m_dataCentres.begin(), m_dataCentres.end(), runner->entry.dataCentre) == m_dataCentres.end())
             m_dataCentres.push_back(runner->entry.dataCentre);
@@ -58,7 +60,8 @@
     // Deployments have few data centres.
     m_orders.clear();
     for (auto& candidate : m_candidates) {
-        candidate.isWarm = candidate.isReturning || hasCopy(request.affinityKey, *candidate.runner, now);
+        candidate.isWarm
+            = candidate.isReturning || (candidate.isLocal && hasCopy(request.affinityKey, *candidate.runner, now));
         const auto order = std::find_if(
             m_orders.begin(), m_orders.end(), [&](const Order& each) { return isSameOrder(*each.first, candidate); });
         const auto score = mix64(request.affinityKey, candidate.runner->identity);
@@ -169,7 +172,22 @@
         = m_options.bound.loadBound * total / static_cast<double>(m_candidates.size()) + m_options.bound.loadMargin;
     if (request.affinityKey != 0)
         findWarm(registry, request, profile.keepsDataCentre, now);
+    const auto objective = toMilliseconds(cost.latencyObjective);
+    auto lowestWithRoom = std::numeric_limits<double>::infinity();
     for (auto& candidate : m_candidates) {
+        if (!candidate.isLocal)
+            continue;
+        candidate.hasRoom = hasRoom(candidate, cost, profile, result.bound);
+        estimate(candidate, request, cost, profile);
+        if (candidate.hasRoom)
+            lowestWithRoom = std::min(lowestWithRoom, candidate.wait);
+    }
+    // Other data centres cannot save more than the wait here, so most decisions need not look at them.
+    const bool mayLeave = lowestWithRoom > objective * m_options.leftShare;
+    for (auto& candidate : m_candidates) {
+        if (candidate.isLocal || !mayLeave)
+            continue;
+        candidate.view = remaining.view(static_cast<work::RunnerKey>(candidate.runner->identity), now);
         candidate.hasRoom = hasRoom(candidate, cost, profile, result.bound);
         estimate(candidate, request, cost, profile);
     }
@@ -178,13 +196,13 @@
         = std::any_of(m_candidates.begin(), m_candidates.end(), [](const Candidate& each) { return each.hasRoom; });
     const auto isEligible = [&](const Candidate& each) { return isAnyWithRoom ? each.hasRoom : isBelowBound(each); };
     const auto* local = choose(request, cost, [&](const Candidate& each) { return each.isLocal && isEligible(each); });
-    const auto* remote
-        = choose(request, cost, [&](const Candidate& each) { return !each.isLocal && isEligible(each); });
+    const auto* remote = !mayLeave
+        ? nullptr
+        : choose(request, cost, [&](const Candidate& each) { return !each.isLocal && isEligible(each); });
     const auto* chosen = local ? local : remote;
     if (local && remote) {
         const auto found = m_leavingUntil.find(request.service);
         const bool hasLeft = found != m_leavingUntil.end() && now < found->second;
-        const auto objective = toMilliseconds(cost.latencyObjective);
         // What waiting here costs is decided by the best runner, also if it is not drawn.
         auto lowest = local->wait;
         for (const auto& candidate : m_candidates) {
--- a/src/work/RemainingWork.cpp
+++ b/src/work/RemainingWork.cpp
@@ -60,6 +60,8 @@
 
 double RemainingWork::learned(const State& state, TimePoint now) const
 {
+    if (state.observations == 0.0)
+        return 1.0;
     const auto weight = decay(state, now);
     const auto mean = state.logRatios * weight / (state.observations * weight + m_options.priorObservations);
     return std::clamp(std::exp(mean), m_options.fastest, m_options.slowest);
@@ -70,7 +72,7 @@
     if (state.reported == 1.0)
         return 1.0;
     const auto weight = std::exp2(-toSeconds(now - state.reportedAt) / toSeconds(m_options.reportHalfLife));
-    return std::pow(state.reported, state.trust * weight);
+    return 1.0 + (state.reported - 1.0) * state.trust * weight;
 }
 
 void RemainingWork::recordReport(RunnerKey runner, double slowdown, TimePoint now)
