--- a/src/gateway/CallerBudget.cpp
+++ b/src/gateway/CallerBudget.cpp
@@ -182,7 +182,7 @@
     for (const auto& [key, entry] : m_entries) {
         if (entry.isLeaving || entry.phase == CallerPhase::Running)
             continue;
-        if (!isUsedUp && entry.bytes <= smallCallerBytes)
+        if (entry.bytes <= (isUsedUp ? negligibleBytes : smallCallerBytes))
             continue;
         const bool isOverShare = entry.address->second.bytes > share;
         if (isChosenOverShare && !isOverShare)
--- a/src/gateway/CallerBudget.h
+++ b/src/gateway/CallerBudget.h
@@ -64,6 +64,8 @@
     static constexpr std::size_t connectionBytes = 4096;
     /// A caller that holds at most this much is small: a request with the largest headers fits.
     static constexpr std::size_t smallCallerBytes = 131072;
+    /// A caller that holds at most this much is not rejected for memory: next to nothing would be freed.
+    static constexpr std::size_t negligibleBytes = 2 * connectionBytes;
 
     void setOptions(const CallerBudgetOptions& options) { m_options = options; }
     const CallerBudgetOptions& options() const { return m_options; }
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -16,15 +16,15 @@
 struct Exchange {
     /// Start line and headers, and the body unless it is given apart.
     std::string bytes;
-    /// Body that is sent after them; it stays with its owner.
-    std::string_view body;
-    /// Keeps the body alive.
-    std::shared_ptr<const void> bodyOwner;
     /// Tells from the head of a response whether it answers this request. A reused connection may still deliver a
     /// late response to an earlier request.
     std::function<bool(const http::MessageHead&)> isAnswer;
     /// The response has no body, whatever its headers say, as for a HEAD request.
     bool isBodyless = false;
+    /// Body that is sent after the bytes; it stays with its owner.
+    std::string_view body;
+    /// Keeps the body alive.
+    std::shared_ptr<const void> bodyOwner;
 };
 
 /// @brief How an exchange ended.
