Give the body of an exchange default initializers

Cause: initializers of an exchange that leave the body out got a compiler warning (-Wmissing-field-initializers).

--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -22,9 +22,9 @@
     /// The response has no body, whatever its headers say, as for a HEAD request.
     bool isBodyless = false;
     /// Body that is sent after the bytes; it stays with its owner.
-    std::string_view body;
+    std::string_view body {};
     /// Keeps the body alive.
-    std::shared_ptr<const void> bodyOwner;
+    std::shared_ptr<const void> bodyOwner {};
 };
 
 /// @brief How an exchange ended.
