--- a/src/admission/OrganisationShares.cpp
+++ b/src/admission/OrganisationShares.cpp
@@ -88,6 +88,7 @@
     const std::unordered_map<FlowKey, double>& flows) const
 {
     std::vector<FlowDemand> heavy;
+    heavy.reserve(flows.size());
     for (const auto& [flow, work] : flows)
         heavy.push_back({ flow, static_cast<Work>(work * workPerSlot) });
     keepHeaviest(heavy, m_options.heavyFlows);
