--- a/standins/PlatformRunner.cpp
+++ b/standins/PlatformRunner.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/SystemClock.h"
 #include "gateway/HttpServer.h"
+#include <algorithm>
+#include <deque>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -21,6 +23,7 @@
             : m_context(context)
             , m_options(options)
         {
+            becomeCold();
         }
 
         void handle(const HttpRequest& request, const std::shared_ptr<Responder>& responder)
@@ -32,6 +35,8 @@
             }
             if (path == "/fault") {
                 m_fault = queryParameter(request.query(), "name");
+                if (m_fault == "cold")
+                    becomeCold();
                 responder->respond({ 200, {}, "fault " + m_fault + "\n" });
                 return;
             }
@@ -39,11 +44,16 @@
                 responder->respond({ 200, {}, std::to_string(m_refusals) + "\n" });
                 return;
             }
+            if (path == "/most-while-cold") {
+                responder->respond({ 200, {}, std::to_string(m_mostWhileCold) + "\n" });
+                return;
+            }
             if (path == "/kv-list") {
                 responder->respond({ 200, {}, nlohmann::json { { "epoch", 1 }, { "held", m_cached } }.dump() });
                 return;
             }
             const std::string id(request.header("X-Attempt-Id").value_or(""));
+            countArrival(request);
             if (request.header("X-Expect-Instance").value_or("") != m_options.name)
                 responder->respond({ 421, { { "X-Attempt-Id", id }, { "X-Instance-Id", m_options.name } }, "" });
             else if (m_fault == "full" || m_fault == "paused")
@@ -63,6 +73,31 @@
             bool isReaderGone = false;
         };
 
+        void becomeCold()
+        {
+            m_coldUntil = daemon::currentTime() + fromSeconds(m_options.coldSeconds);
+            m_arrivals.clear();
+        }
+
+        Duration coldTimeLeft() const
+        {
+            return std::max<Duration>(m_coldUntil - daemon::currentTime(), Duration::zero());
+        }
+
+        /// Counts a request that arrives while the runner is cold. Those for other runners, refused with 421, do not
+        /// count.
+        void countArrival(const HttpRequest& request)
+        {
+            if (coldTimeLeft() == Duration::zero()
+                || request.header("X-Expect-Instance").value_or("") != m_options.name)
+                return;
+            const auto now = daemon::currentTime();
+            m_arrivals.push_back(now);
+            while (now - m_arrivals.front() > std::chrono::seconds(1))
+                m_arrivals.pop_front();
+            m_mostWhileCold = std::max(m_mostWhileCold, m_arrivals.size());
+        }
+
         void refuse(const std::string& id, Responder& responder)
         {
             ++m_refusals;
@@ -83,6 +118,8 @@
             }
             gateway::Headers headers { { "X-Attempt-Id", id }, { "X-Response-Signature", "digest-of-" + id },
                 { "Eelgrassford-Runner", m_options.name }, { "X-Server-Load", "1,0,8" } };
+            if (m_options.coldSeconds > 0.0)
+                headers.emplace_back("X-Cold-Ms", std::to_string(static_cast<int>(toMilliseconds(coldTimeLeft()))));
             if (m_fault == "limited")
                 headers.emplace_back("Server-Limit", "1.0");
             if (m_fault == "leaving")
@@ -159,6 +196,10 @@
         nlohmann::json m_cached = nlohmann::json::array();
         std::string m_fault;
         int m_refusals = 0;
+        TimePoint m_coldUntil {};
+        /// Requests of the last second that arrived while it was cold, and the largest number of them.
+        std::deque<TimePoint> m_arrivals;
+        std::size_t m_mostWhileCold = 0;
     };
 
     /// Time for which a runner serves on after SIGTERM.
--- a/standins/StandIns.h
+++ b/standins/StandIns.h
@@ -67,6 +67,8 @@
     /// File to which each run is appended with the runner and the time, so that the record survives the process;
     /// empty for none.
     std::string runLog;
+    /// Seconds for which it is cold after its start, as its responses state, and after the fault "cold".
+    double coldSeconds = 0.0;
 };
 
 /// @brief Simulates the store of the users' platform until the process ends.
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -64,6 +64,8 @@
 
     runnerCommand->add_option("--version", runner.version, "Software version that each event states");
     runnerCommand->add_option("--run-log", runner.runLog, "File to which each run is appended");
+    runnerCommand->add_option("--cold", runner.coldSeconds, "Seconds for which it is cold after its start")
+        ->capture_default_str();
 
     CLI11_PARSE(app, argumentCount, arguments);
     try {
--- a/tests/e2e/relay.test.sh
+++ b/tests/e2e/relay.test.sh
@@ -58,15 +58,15 @@
 }
 # Start of the runners' processes, unless another one is given.
 born=1
-list_runner() { # NUMBER STATE [BORN [VERSION]]
-    curl -sf -X PUT "$store/item/servers/runner-$1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.$1:8000\",\"zone\":\"south-$1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":${3:-$born},\"version\":\"${4:-v1}\"}"
+list_runner() { # NUMBER STATE [BORN [VERSION [COLD_MS]]]
+    curl -sf -X PUT "$store/item/servers/runner-$1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.$1:8000\",\"zone\":\"south-$1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":${5:-0},\"sequence\":1,\"born\":${3:-$born},\"version\":\"${4:-v1}\"}"
 }
-publish() { # VERSION KEY [PREFIX]
+publish() { # VERSION KEY [PREFIX [FIELDS OF THE SERVICE]]
     curl -sf -X PUT "$store/item/op/config" -d "{\"version\":$1,\"routes\":[
         {\"name\":\"book\",\"host\":\"a.example\",\"pathPrefix\":\"/book/\",\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":1},
         {\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"${3:-/look/}\",\"kind\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2},
         {\"name\":\"stream\",\"host\":\"a.example\",\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2,\"streamResume\":true}],
-        \"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":100}],
+        \"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":100${4:-}}],
         \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},
         \"tenants\":[{\"name\":\"yard\",\"apiKeys\":[\"$2\"]}]}"
 }
@@ -255,6 +255,48 @@
 is_unlimited() { round=$((round + 1)); for i in 1 2 3 4 5 6; do answers "$1" /look/1 "n-$round-$i" || return 1; done; }
 for number in 1 2 3; do wait_until "daemon $number serves as before" is_unlimited "$number"; done
 
+echo "== an evacuated data centre gets nothing, also from a daemon that starts meanwhile, or after a loss of the key"
+evacuation="$store/item/op/evacuate/south-3"
+evacuated_is() { for number in 1 2 3; do field_is "$number" '.evacuated | join(" ")' "$1" || return 1; done; }
+serve_all() { # PREFIX OF IDS
+    for number in 1 2 3; do for i in 1 2 3 4; do check "daemon $number serves" answers "$number" /look/1 "$1-$number-$i"; done; done
+}
+curl -sf "$store/save" > /dev/null
+curl -sf -X PUT "$evacuation" -d '{}' > /dev/null
+wait_until "all daemons know" evacuated_is south-3
+before=$(runs_of 3)
+kill_and_wait daemon-2
+for number in 1 3; do check "daemon $number serves" answers "$number" /look/1 "e-0-$number"; done
+start_daemon 2
+wait_until "ready again" is_ready 2
+serve_all e-1
+curl -sf "$store/restore" > /dev/null
+wait_until "the restored copy is noticed" eval 'cat "$work"/daemon-*.log | grep -q "event=store-era era=3"'
+serve_all e-2
+curl -sf -X PUT "$evacuation" -d '{}' > /dev/null
+serve_all e-3
+check "nothing reaches it" equal "$(runs_of 3)" "$before"
+check "all daemons still know" evacuated_is south-3
+curl -sf -X DELETE "$evacuation" > /dev/null
+wait_until "all daemons know of its return" evacuated_is ""
+returns() { round=$((round + 1)); for number in 1 2 3; do ask "$number" /look/1 "f-$round-$number" > /dev/null; done; [ "$(runs_of 3)" -gt "$before" ]; }
+wait_until "it gets requests again" returns
+
+echo "== a runner that starts cold gets no more than it sustains, and the others serve the rest"
+publish 9 key-1 /look/ ',"coldStartS":3,"coldPerS":10' > /dev/null
+for number in 1 2 3; do wait_until "daemon $number knows the cold start" field_is "$number" .configuration_revision 9; done
+kill_and_wait runner-3
+start_runner 3 --cold 3
+wait_until "runner 3 serves" fault 3 cold
+list_runner 3 ready 4 v1 3000 > /dev/null
+is_known_cold() { for number in 1 2 3; do grep -q 'event=runner-cold runner=runner-3' "$work/daemon-$number.log" || return 1; done; }
+wait_until "all daemons know that it is cold" is_known_cold
+for i in $(seq 8); do serve_all "g-$i"; done
+most=$(curl -sf "http://127.$base.2.3:8000/most-while-cold")
+check "at most 10 requests within a second" [ "$most" -le 10 ]
+is_warm() { round=$((round + 1)); for i in 1 2 3 4; do ask 3 /look/1 "h-$round-$i" > /dev/null; done; [ "$(runs_of 3)" -gt 40 ]; }
+wait_until "it gets more when it is warm" is_warm
+
 echo "== a stop cuts no request"
 ask 3 /stream/1 stop-1 -d x > "$work/status" &
 asking=$!
--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -1,5 +1,6 @@
 #include "soak/Checks.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -10,6 +11,9 @@
     /// Maximum time for which a revoked key may still be accepted.
     constexpr Duration maxRevocationDelay = std::chrono::seconds(5);
 
+    /// Maximum time after which a request may still reach a data centre that is evacuated.
+    constexpr Duration maxEvacuationDelay = std::chrono::seconds(5);
+
     using ExecutionsById = std::map<std::string, std::vector<const Execution*>>;
 
     /// Whether a status tells the caller that no runner executed the request.
@@ -42,6 +46,21 @@
             report("failed with " + std::to_string(record.status) + " although there was no fault");
     }
 
+    /// Reports executions, in an evacuated data centre, of requests that were sent when no daemon might use it any
+    /// more. Requests that were sent before may have waited at a runner that was frozen.
+    void checkEvacuation(const Record& record, const std::vector<const Execution*>& executions,
+        const Evacuation& evacuation, std::vector<std::string>& violations)
+    {
+        if (record.sentAt <= evacuation.at + maxEvacuationDelay)
+            return;
+        for (const auto* execution : executions) {
+            const bool isThere = std::find(evacuation.runners.begin(), evacuation.runners.end(), execution->runner)
+                != evacuation.runners.end();
+            if (isThere && (!evacuation.endsAt || execution->at < *evacuation.endsAt))
+                violations.push_back(record.id + ": executed by " + execution->runner + " of an evacuated data centre");
+        }
+    }
+
 }
 
 std::vector<Execution> readExecutions(const std::filesystem::path& path)
@@ -69,6 +88,8 @@
     std::vector<std::string> violations;
     for (const auto& record : observations.records) {
         check(record, executions[record.id], observations.isPlannedOnly, violations);
+        for (const auto& evacuation : observations.evacuations)
+            checkEvacuation(record, executions[record.id], evacuation, violations);
         for (const auto& revocation : observations.revocations) {
             const bool isTooLate = record.key == revocation.key && record.sentAt > revocation.at + maxRevocationDelay;
             if (isTooLate && !executions[record.id].empty())
--- a/tests/soak/Checks.h
+++ b/tests/soak/Checks.h
@@ -3,6 +3,7 @@
 #include "soak/Record.h"
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,11 +22,21 @@
     TimePoint at {};
 };
 
+/// @brief An evacuation of a data centre.
+struct Evacuation {
+    /// Its runners.
+    std::vector<std::string> runners;
+    /// Time at which the store acknowledged the key, and before which it was not removed; empty while it is there.
+    TimePoint at {};
+    std::optional<TimePoint> endsAt;
+};
+
 /// @brief What callers, runners and the store observed while one seed ran.
 struct Observations {
     std::vector<Record> records;
     std::vector<Execution> executions;
     std::vector<Revocation> revocations;
+    std::vector<Evacuation> evacuations;
     /// Whether the schedule had planned operations only, without faults.
     bool isPlannedOnly = false;
 };
--- a/tests/soak/ChecksTest.cpp
+++ b/tests/soak/ChecksTest.cpp
@@ -95,3 +95,21 @@
     observations.isPlannedOnly = false;
     CHECK(findViolations(observations).empty());
 }
+
+TEST_CASE("the soak reports requests that reach a data centre 5 s after its evacuation was acknowledged")
+{
+    Observations observations;
+    observations.records = { makeRecord(RequestKind::Lookup, 200) };
+    observations.executions = { makeExecution("runner-1") };
+    const auto evacuated = [&](const char* runner, Duration before, Duration length) {
+        observations.evacuations = { { { runner }, begin - before, begin - before + length } };
+        return findViolations(observations).size();
+    };
+    using std::chrono::seconds;
+    CHECK(evacuated("runner-1", seconds(6), seconds(10)) == 1);
+    CHECK(evacuated("runner-2", seconds(6), seconds(10)) == 0);
+    CHECK(evacuated("runner-1", seconds(5), seconds(10)) == 0);
+    CHECK(evacuated("runner-1", seconds(6), seconds(6)) == 0);
+    observations.evacuations.front().endsAt.reset();
+    CHECK(findViolations(observations).size() == 1);
+}
--- a/tests/soak/Installation.cpp
+++ b/tests/soak/Installation.cpp
@@ -16,6 +16,8 @@
     constexpr std::uint16_t storePort = 9000;
     constexpr int runnerSlots = 8;
 
+    std::string dataCentreName(std::size_t index) { return "south-" + std::to_string(index + 1); }
+
     Json route(const char* name, const char* prefix, const char* kind, int attempts)
     {
         return { { "name", name }, { "host", "a.example" }, { "pathPrefix", prefix }, { "kind", kind },
@@ -66,7 +68,7 @@
 
 void Installation::writeSettings(std::size_t daemon) const
 {
-    const auto zone = "south-" + std::to_string(daemon + 1);
+    const auto zone = dataCentreName(daemon);
     std::ofstream file(m_options.work / (daemonName(daemon) + ".toml"));
     file << "host = \"entry-" << daemon + 1 << "\"\ndata_centre = \"" << zone << "\"\nregion = \"south\"\n"
          << "ip = \"" << endpoint(Subnet::Daemon, daemon, 0).address().to_string() << "\"\n[listen]\n"
@@ -152,13 +154,31 @@
 bool Installation::listRunner(std::size_t runner, std::string_view state)
 {
     const Json entry = { { "service", "pool" }, { "address", address(Subnet::RunnerLink, runner, trafficPort) },
-        { "zone", "south-" + std::to_string(runner % m_options.daemonCount + 1) }, { "slots", runnerSlots },
-        { "state", state }, { "coldRemainingMs", 0 }, { "sequence", ++m_sequence }, { "born", m_incarnations[runner] },
+        { "zone", dataCentreName(runner % m_options.daemonCount) }, { "slots", runnerSlots }, { "state", state },
+        { "coldRemainingMs", 0 }, { "sequence", ++m_sequence }, { "born", m_incarnations[runner] },
         { "version", versionOf(runner) } };
     m_runnerStates[runner] = state;
     return call(endpoint(Subnet::Store, 0, storePort), "PUT", "/item/servers/" + runnerName(runner), entry.dump());
 }
 
+bool Installation::setEvacuated(std::size_t dataCentre, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuated.insert(dataCentre);
+    else
+        m_evacuated.erase(dataCentre);
+    return call(endpoint(Subnet::Store, 0, storePort), isEvacuated ? "PUT" : "DELETE",
+        "/item/op/evacuate/" + dataCentreName(dataCentre), isEvacuated ? "{}" : "");
+}
+
+std::vector<std::string> Installation::runnersIn(std::size_t dataCentre) const
+{
+    std::vector<std::string> result;
+    for (auto runner = dataCentre; runner < m_options.runnerCount; runner += m_options.daemonCount)
+        result.push_back(runnerName(runner));
+    return result;
+}
+
 void Installation::renewRunner(std::size_t runner)
 {
     setRunnerFault(runner, "none");
@@ -173,6 +193,9 @@
     bool isDone = call(endpoint(Subnet::Store, 0, storePort), "GET", "/restore") && publish(keys);
     for (std::size_t i = 0; i < m_options.runnerCount; ++i)
         isDone = listRunner(i, std::string(m_runnerStates[i])) && isDone;
+    // The copy may lack an evacuation, or hold one that has ended.
+    for (std::size_t i = 0; i < m_options.daemonCount; ++i)
+        isDone = setEvacuated(i, m_evacuated.contains(i)) && isDone;
     return isDone;
 }
 
@@ -195,6 +218,8 @@
 {
     m_processes.signal("store", SIGCONT);
     setStoreFault("none");
+    for (std::size_t i = 0; i < m_options.daemonCount; ++i)
+        setEvacuated(i, false);
     for (std::size_t i = 0; i < m_options.runnerCount; ++i) {
         m_processes.signal(runnerName(i), SIGCONT);
         m_runnerLinks[i]->setState({});
--- a/tests/soak/Installation.h
+++ b/tests/soak/Installation.h
@@ -5,6 +5,7 @@
 #include "soak/Processes.h"
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
     /// @return whether the store accepted it
     bool publish(const std::vector<std::string>& keys);
     bool listRunner(std::size_t runner, std::string_view state);
+    /// @brief Takes a data centre out of service, or returns it.
+    /// @return whether the store accepted it
+    bool setEvacuated(std::size_t dataCentre, bool isEvacuated);
+    /// @brief Names of the runners in a data centre.
+    std::vector<std::string> runnersIn(std::size_t dataCentre) const;
     /// @brief Ends the fault of a runner and lists its next lifetime as ready.
     void renewRunner(std::size_t runner);
     /// @brief Copies the data of the store, for restoreStore().
@@ -81,6 +87,8 @@
     std::vector<std::uint64_t> m_incarnations;
     /// State of each runner as it was listed last.
     std::vector<std::string> m_runnerStates;
+    /// Data centres that are out of service.
+    std::set<std::size_t> m_evacuated;
     std::uint64_t m_revision = 0;
     /// Rises with each entry of a runner.
     std::uint64_t m_sequence = 0;
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -41,6 +41,7 @@
         ActionName { Action::RestoreStore, "restore-store" },
         ActionName { Action::LeaveRunner, "leave-runner" },
         ActionName { Action::PauseRunner, "pause-runner" },
+        ActionName { Action::EvacuateDataCentre, "evacuate-data-centre" },
     };
 
     constexpr std::size_t plannedActionCount = 5;
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -37,6 +37,7 @@
     RestoreStore,
     LeaveRunner,
     PauseRunner,
+    EvacuateDataCentre,
 };
 
 std::string_view nameOf(Action action);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -13,6 +13,8 @@
     /// Time within which a published key reaches every daemon that is connected to the store.
     constexpr std::chrono::milliseconds keyPropagationTime { 4000 };
     constexpr std::chrono::milliseconds slowLinkDelay { 60 };
+    /// Shortest evacuation; the daemons have 5 s to notice it.
+    constexpr std::chrono::milliseconds evacuationTime { 6000 };
 
 }
 
@@ -219,6 +221,9 @@
     case Action::PauseRunner:
         setRunnerFault("paused");
         return;
+    case Action::EvacuateDataCentre:
+        evacuate(daemon, step.duration);
+        return;
     case Action::RestoreStore:
         m_installation.saveStore();
         scheduleAfter(step.duration, [this] { m_installation.restoreStore(m_keys); });
@@ -248,6 +253,23 @@
     });
 }
 
+void Soak::evacuate(std::size_t dataCentre, Milliseconds duration)
+{
+    if (m_evacuations.contains(dataCentre))
+        return;
+    if (!m_installation.setEvacuated(dataCentre, true)) {
+        // A store that is frozen takes the key later.
+        m_installation.setEvacuated(dataCentre, false);
+        return;
+    }
+    m_evacuations[dataCentre] = m_observations.evacuations.size();
+    m_observations.evacuations.push_back({ m_installation.runnersIn(dataCentre), currentTime(), {} });
+    scheduleAfter(evacuationTime + duration, [this, dataCentre] {
+        m_observations.evacuations[m_evacuations.extract(dataCentre).mapped()].endsAt = currentTime();
+        m_installation.setEvacuated(dataCentre, false);
+    });
+}
+
 void Soak::replaceKey()
 {
     const auto added = "key-" + std::to_string(m_keys.size() + m_observations.revocations.size() + 1);
@@ -272,6 +294,8 @@
 void Soak::recover()
 {
     m_isRecovering = true;
+    for (const auto& [dataCentre, index] : std::exchange(m_evacuations, {}))
+        m_observations.evacuations[index].endsAt = currentTime();
     m_installation.heal();
     waitFor([this] { return m_installation.publish(m_keys); });
     for (std::size_t i = 0; i < m_options.installation.daemonCount; ++i) {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -39,6 +39,7 @@
     void stopDaemon(std::size_t daemon);
     void restartWhenEnded(std::size_t daemon);
     void replaceKey();
+    void evacuate(std::size_t dataCentre, Milliseconds duration);
     void setLinkStateFor(LoopbackProxy& link, const LinkState& state, Milliseconds duration);
     void recover();
     /// Whether a daemon is ready; restarts one that has ended.
@@ -54,6 +55,8 @@
     Observations m_observations;
     std::vector<std::string> m_violations;
     std::vector<std::shared_ptr<Caller>> m_callers;
+    /// Data centres that are evacuated now, with their places in the observations.
+    std::map<std::size_t, std::size_t> m_evacuations;
     /// Keys in the published configuration.
     std::vector<std::string> m_keys { "key-1" };
     /// The key that callers use; a new key is used only once it has had time to reach every daemon.
