--- a/tests/e2e/relay.sh
+++ b/tests/e2e/relay.sh
@@ -54,15 +54,15 @@
 }
 # Start of the runners' processes, unless another one is given.
 born=1
-list_runner() { # NUMBER STATE [BORN [VERSION]]
-    curl -sf -X PUT "$store/item/servers/runner-$1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.$1:8000\",\"zone\":\"south-$1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":${3:-$born},\"version\":\"${4:-v1}\"}"
+list_runner() { # NUMBER STATE [BORN [VERSION [COLD_MS]]]
+    curl -sf -X PUT "$store/item/servers/runner-$1" -d "{\"service\":\"pool\",\"address\":\"127.$base.2.$1:8000\",\"zone\":\"south-$1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":${5:-0},\"sequence\":1,\"born\":${3:-$born},\"version\":\"${4:-v1}\"}"
 }
-publish() { # VERSION KEY [PREFIX]
+publish() { # VERSION KEY [PREFIX [FIELDS OF THE SERVICE]]
     curl -sf -X PUT "$store/item/op/config" -d "{\"version\":$1,\"routes\":[
         {\"name\":\"book\",\"host\":\"a.example\",\"pathPrefix\":\"/book/\",\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":1},
         {\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"${3:-/look/}\",\"kind\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2},
         {\"name\":\"stream\",\"host\":\"a.example\",\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":2000,\"service\":\"pool\",\"maxAttempts\":2,\"streamResume\":true}],
-        \"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":100}],
+        \"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":100${4:-}}],
         \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},
         \"tenants\":[{\"name\":\"yard\",\"apiKeys\":[\"$2\"]}]}"
 }
