--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -36,8 +36,8 @@
         return result;
     }
 
-    /// Digests from each daemon to each grow with the square of the fleet, and most of them cross data centres. Where data
-    /// centres may be lost, the connections between them are kept free from a smaller fleet on.
+    /// Digests from each daemon to each grow with the square of the fleet, and most of them cross data centres. Where
+    /// data centres may be lost, the connections between them are kept free from a smaller fleet on.
     fleet::Gossip::Options gossipOptions(const RelaySettings& settings)
     {
         constexpr std::size_t startSizeAcrossDataCentres = 32;
