--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -243,24 +243,6 @@
     m_responder->begin(head.status, m_router.m_codec.encodeResponse(head.headers));
 }
 
-void Session::recordStatements(runners::Runner& runner) const
-{
-    const auto before = runner.limit.perSecond;
-    const auto now = m_router.now();
-    if (m_router.m_registry.recordLimit(runner, m_attempt->metadata.rateLimit, m_attempt->sentAt, now))
-        m_router.logLimit(runner, before, m_admitted.metadata.attemptId);
-    const auto& metadata = m_attempt->metadata;
-    if (metadata.hasUnusablePause && !std::exchange(runner.isUnusablePauseLogged, true))
-        telemetry::logWarning("runner-pause-unusable",
-            { { "runner", runner.entry.id }, { "request", m_admitted.metadata.attemptId },
-                { "used_ms", metadata.pause ? toMilliseconds(*metadata.pause) : 0.0 } });
-    if (metadata.pause && m_router.m_registry.recordPause(runner, *metadata.pause, now))
-        m_router.onRunnerPaused(runner, m_admitted.metadata.attemptId, now);
-    m_router.recordColdStatement(runner, metadata, m_admitted.metadata.attemptId);
-    if (metadata.isLeaving && m_router.m_registry.recordLeaving(runner, now))
-        m_router.onRunnerLeaving(runner, m_admitted.metadata.attemptId, now);
-}
-
 void Session::onBytes(std::string_view bytes)
 {
     auto& attempt = *m_attempt;
