Keep requests at the runners that have their prefix cached

Small differences of load outweighed the time to compute a prefix of some hundred tokens, so that each prefix spread over all runners of a data centre. Change: a request leaves the runners that have its prefix only for a gain of a sixteenth of its latency objective; the rule holds from 128 tokens on. Ruled out: a fetch from a runner without the prefix; the spread prefixes are too short to be fetched.

The message of an earlier release in MembersTest is now the present one without all of its later fields. It was made by erasing two fields from the middle, which no release ever sent, and which moved the fields that this release adds to positions of another type. The check itself is unchanged.

--- a/src/runners/WorkPlacement.cpp
+++ b/src/runners/WorkPlacement.cpp
@@ -132,13 +132,16 @@
 {
     const bool isSharing = request.affinityKey != 0 && cost.prefixTokens >= m_options.minTokensToShare;
     const Candidate* best = nullptr;
+    const Candidate* cached = nullptr;
     std::array<std::pair<std::uint64_t, const Candidate*>, 8> drawn {};
     const auto count = std::min(m_options.choices, drawn.size());
     for (const auto& candidate : m_candidates) {
         if (!isEligible(candidate))
             continue;
-        const bool isPreferred = candidate.isReturning || (isSharing && (candidate.isWarm || candidate.isSecond));
-        if (isPreferred && (!best || candidate.cost < best->cost))
+        const bool isCached = candidate.isReturning || (isSharing && candidate.isWarm);
+        if (isCached && (!cached || candidate.cost < cached->cost))
+            cached = &candidate;
+        if (isSharing && candidate.isSecond && (!best || candidate.cost < best->cost))
             best = &candidate;
         // Keeps the highest draws in descending order.
         std::pair entry { mix64(request.tieBreaker, candidate.runner->identity), &candidate };
@@ -153,7 +156,8 @@
         if (drawn[i].second && (!best || drawn[i].second->cost < best->cost))
             best = drawn[i].second;
     }
-    return best;
+    const auto leastGain = m_options.spillShare * toMilliseconds(cost.latencyObjective);
+    return cached && (!best || cached->cost - best->cost <= leastGain) ? cached : best;
 }
 
 Placement WorkPlacement::place(const Registry& registry, const work::RemainingWork& remaining,
--- a/src/runners/WorkPlacement.h
+++ b/src/runners/WorkPlacement.h
@@ -60,9 +60,11 @@
     /// Runners that are compared besides those that probably have the prefix cached. Reports are older than many
     /// decisions, so daemons that read the same one and all took the best runner would overload it.
     std::size_t choices = 3;
-    /// Tokens of a shared prefix from which the runners that have it cached are preferred; shorter ones are computed
-    /// sooner than a wait there ends.
-    double minTokensToShare = 512.0;
+    /// Tokens of a shared prefix from which the runners that have it cached are preferred.
+    double minTokensToShare = 128.0;
+    /// Part of the latency objective that a request must gain to leave the runners that have its prefix cached. Without
+    /// it small differences of load spread each prefix over all runners, and each of them computes it.
+    double spillShare = 0.0625;
     /// Time until this daemon learns of a request of another one.
     Duration reportDelay = std::chrono::milliseconds(200);
     /// Time for which a runner to which this daemon sent a prefix is assumed to have it cached.
--- a/tests/fleet/MembersTest.cpp
+++ b/tests/fleet/MembersTest.cpp
@@ -163,8 +163,9 @@
     // Daemons of earlier releases read and pass on only the records of whole requests.
     auto message = nlohmann::json::from_cbor(fleet::encode(original));
     CHECK(message.at(1).at(7) == nlohmann::json::array({ { 9, { 1, 2 } } }));
-    message.at(1).erase(11);
-    message.at(1).erase(10);
+    constexpr std::size_t earlierFields = 10;
+    while (message.at(1).size() > earlierFields)
+        message.at(1).erase(message.at(1).size() - 1);
     std::string earlier;
     nlohmann::json::to_cbor(message, earlier);
     const auto fromEarlier = fleet::decode(earlier);
