Fetch prefixes from the first runner of another data centre

The source of a fetch was the first runner in the order of all runners: none if that one was chosen itself, and a runner without the prefix if its data centre had not used it yet. The copies of the other data centres were not asked. Change: the source is the first runner of the own data centre, otherwise the one of another data centre.

--- a/src/runners/WorkPlacement.cpp
+++ b/src/runners/WorkPlacement.cpp
@@ -126,6 +126,27 @@
         || candidate.view.left.residentTokens + cost.residentTokens <= profile.kvCapacityTokens * m_options.memoryShare;
 }
 
+void WorkPlacement::findSource(const Registry& registry, const PlacementRequest& request, const ServiceProfile& profile,
+    TimePoint now, Placement& result) const
+{
+    if (!profile.keepsDataCentre) {
+        findPrefixSource(registry, request, now, result);
+        return;
+    }
+    // The first runner of each data centre has its copy. The first one of all may be the chosen one, or in a data
+    // centre that has not used the prefix yet.
+    const Order* source = nullptr;
+    for (const auto& order : m_orders) {
+        if (order.first->runner == result.runner || registry.isRecentlyAdded(*order.first->runner, now))
+            continue;
+        const bool isBetter = !source || (order.first->isLocal && !source->first->isLocal)
+            || (order.first->isLocal == source->first->isLocal && order.firstScore > source->firstScore);
+        if (isBetter)
+            source = &order;
+    }
+    result.prefixSource = source ? source->first->runner : nullptr;
+}
+
 template <typename Predicate>
 const WorkPlacement::Candidate* WorkPlacement::choose(
     const PlacementRequest& request, const RequestCost& cost, Predicate isEligible) const
@@ -237,7 +258,7 @@
         result.reason = chosen->isWarm ? PlacementReason::Warm : PlacementReason::Spilled;
     // A runner to which this daemon sent the prefix has fetched or computed it.
     if (request.affinityKey != 0 && !hasCopy(request.affinityKey, *chosen->runner, now))
-        findPrefixSource(registry, request, now, result);
+        findSource(registry, request, profile, now, result);
     for (const auto& order : m_orders) {
         if (request.affinityKey != 0 && order.first->isLocal)
             result.firstChoice = order.first->runner;
--- a/src/runners/WorkPlacement.h
+++ b/src/runners/WorkPlacement.h
@@ -136,6 +136,9 @@
         bool keepsDataCentre, TimePoint now);
     /// Finds the candidates that probably have the prefix cached, and the first ones in its order.
     void findWarm(const Registry& registry, const PlacementRequest& request, bool keepsDataCentre, TimePoint now);
+    /// Finds the runner from which the chosen one fetches the prefix, unless it probably has it.
+    void findSource(const Registry& registry, const PlacementRequest& request, const ServiceProfile& profile,
+        TimePoint now, Placement& result) const;
     /// Tokens of the prompt that a candidate probably lacks.
     double uncachedTokens(const Candidate& candidate, const RequestCost& cost) const;
     /// Computes the cost of a candidate, and the part of it that comes before the first event.
