--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -43,7 +43,7 @@
         constexpr std::size_t startSizeAcrossDataCentres = 32;
         constexpr std::size_t endSizeAcrossDataCentres = 24;
         fleet::Gossip::Options options;
-        if (settings.toleratedDataCentreLosses > 0) {
+        if (settings.fleetDataCentreLosses > 0) {
             options.aggregation.startSize = startSizeAcrossDataCentres;
             options.aggregation.endSize = endSizeAcrossDataCentres;
         }
--- a/tests/edge/RelaySettingsTest.cpp
+++ b/tests/edge/RelaySettingsTest.cpp
@@ -54,6 +54,7 @@
     };
     CHECK(edge::parseRelaySettings(withLosses("1"))->toleratedDataCentreLosses == 1);
     CHECK_FALSE(edge::parseRelaySettings(withLosses("-1")));
+    CHECK(edge::parseRelaySettings(settings)->fleetDataCentreLosses == 0);
 }
 
 TEST_CASE("limits of memory and descriptors are checked, and 0 stands for those of the host")
