--- a/src/edge/RelaySettings.cpp
+++ b/src/edge/RelaySettings.cpp
@@ -147,6 +147,7 @@
     settings.retryWindow
         = fromSeconds(reader.number("retries.window_seconds", toSeconds(settings.retryWindow), 0.1, maxSeconds));
     settings.loadBound = reader.number("runners.load_bound", settings.loadBound, 1, 100);
+    settings.placesByReports = reader.optionalText("runners.placement", "load") == "work";
     settings.fleetDataCentreLosses = static_cast<std::uint32_t>(reader.number("fleet.data_centre_losses", 0, 0, 100));
     settings.toleratedDataCentreLosses
         = static_cast<std::uint32_t>(reader.number("runners.tolerated_data_centre_losses", 0, 0, 100));
--- a/src/edge/RelaySettings.h
+++ b/src/edge/RelaySettings.h
@@ -51,6 +51,8 @@
     /// Data centres that the deployment may lose at once. If there are any, requests stay in the data centre of the
     /// daemon, where possible.
     std::uint32_t toleratedDataCentreLosses = 0;
+    /// Whether services whose runners report how long work takes on them are placed by work.
+    bool placesByReports = false;
     /// The same for the messages between daemons, which are aggregated from a smaller fleet on if there are any.
     std::uint32_t fleetDataCentreLosses = 0;
     /// Memory and descriptors of this process.
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -54,6 +54,8 @@
         options.callerPort = settings.callerAddress.port;
         options.placement.bound.loadBound = settings.loadBound * placementBoundShare;
         options.placement.toleratedDataCentreLosses = settings.toleratedDataCentreLosses;
+        options.placement.followsReports = settings.placesByReports;
+        options.placement.admitsAllByWork = settings.fleetDataCentreLosses > 0;
         options.responseBufferLimit
             = std::min(options.responseBufferLimit, callerBudgetOf(settings).bytes / responsePart);
         options.registry.coldShare.overage = settings.coldOverage;
--- a/src/proxy/PlacementControl.cpp
+++ b/src/proxy/PlacementControl.cpp
@@ -42,6 +42,16 @@
 {
     if (m_options.toleratedDataCentreLosses > 0)
         return true;
+    return m_options.followsReports && hasReport(service, now);
+}
+
+bool PlacementControl::admitsByWork(std::string_view service, TimePoint now) const
+{
+    return m_options.admitsAllByWork || m_options.toleratedDataCentreLosses > 0 || hasReport(service, now);
+}
+
+bool PlacementControl::hasReport(std::string_view service, TimePoint now) const
+{
     const auto reported = m_slowdownReportedAt.find(service);
     return reported != m_slowdownReportedAt.end() && now - reported->second < slowdownReportLifetime;
 }
--- a/src/proxy/PlacementControl.h
+++ b/src/proxy/PlacementControl.h
@@ -49,6 +49,10 @@
         runners::PlacementOptions bound;
         /// Data centres whose loss the deployment must tolerate.
         std::uint32_t toleratedDataCentreLosses = 0;
+        /// Whether services whose runners report how long work takes on them are placed by work.
+        bool followsReports = true;
+        /// Whether all services admit by work, otherwise those whose runners report how long work takes on them.
+        bool admitsAllByWork = false;
     };
 
     PlacementControl(const runners::Registry& registry, const Options& options);
@@ -78,8 +82,12 @@
     void sweep(TimePoint now) { m_remaining.removeIdle(now); }
     /// @brief Whether a service is placed by work now.
     bool isByWork(std::string_view service, TimePoint now) const;
+    /// @brief Whether a service divides its capacity by the work that callers request.
+    bool admitsByWork(std::string_view service, TimePoint now) const;
 
 private:
+    /// Whether a runner of the service reported lately how long work takes on it.
+    bool hasReport(std::string_view service, TimePoint now) const;
     runners::RequestCost costOf(const WorkRequest& work, const work::Rates& rates) const;
     /// Output that the caller expects, in events; empty if it states none.
     static std::optional<double> hintOf(const WorkRequest& work);
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -165,7 +165,7 @@
     admissionRequest.admissionDraw = unitDraw();
     admissionRequest.retryDraw = unitDraw();
     admissionRequest.hash = digest;
-    m_overload.setWorkAware(service, m_placement.isByWork(service, now));
+    m_overload.setWorkAware(service, m_placement.admitsByWork(service, now));
     if (const auto retryAfter = m_overload.refuseIfOverloaded(service, metadata.attemptId, admissionRequest, now))
         return Refusal { status::unavailable, "overloaded", *retryAfter };
     return std::nullopt;
