--- a/tests/e2e/callers.test.sh
+++ b/tests/e2e/callers.test.sh
@@ -15,25 +15,7 @@
 trap 'kill -9 "${pids[@]}" 2> /dev/null; rm -rf "$work"' EXIT
 passed=0 failed=0
 . tests/e2e/checks.sh
-store="http://127.$base.0.1:9000"
-
-wait_until() { # DESCRIPTION COMMAND...
-    local what=$1
-    shift
-    for _ in $(seq 600); do
-        "$@" > /dev/null 2>&1 && return 0
-        sleep 0.05
-    done
-    echo "never: $what"
-    failed=$((failed + 1))
-    return 1
-}
-start() { # NAME COMMAND...
-    local process=$1
-    shift
-    "$@" > "$work/$process.log" 2>&1 &
-    pids[$process]=$!
-}
+. tests/e2e/relay.sh
 ask() { # ID: prints the status
     curl -s -m 20 -o "$work/body" -w '%{http_code}' "http://127.$base.1.1:8000/look/1" -H 'Host: a.example' \
         -H "X-Attempt-Id: $1" -H 'X-Deadline-Ms: 5000' -H 'X-Key: key-1' -d ordinary
