--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -27,7 +27,7 @@
     for number in 1 2 3; do signal "daemon-$number" KILL; done
     sleep 0.1
     for number in 1 2 3; do start_daemon "$number"; done
-    sleep 1
+    sleep 1.2
     [ "$trouble" = kill ] || signal runner-3 CONT
 fi
 finish_calls streams
