--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A canary of another software version falls silent for 1.3 s, beside a SIGHUP of the daemon.
+# A canary of another software version falls silent for 1.4 s, beside a SIGHUP of the daemon.
 set -uo pipefail
 . "$(dirname "$0")/../harness-2/lib.sh"
 begin
@@ -19,7 +19,7 @@
 sleep 0.8
 if [ "$trouble" != 0 ]; then
     signal runner-3 STOP
-    sleep 1.3
+    sleep 1.4
     signal runner-3 CONT
 fi
 finish_calls streams
