Continue a stream only if no runner that was not heard may have begun it

Cause: the survey of the runners' caches concluded after 500 ms from those that had answered. Not asked, not answered, not understood and "does not have it" were one, and the conclusion was kept for 10 s. Ruled out: a wrong answer of the directory (no request logs origin=told) and a listing without the version (all daemons list three runners); the log has unanswered=1 before the streams.

Change: CacheSurvey, without I/O, waits up to 2 s for runners of other versions, asks them again, and counts those that cannot be asked or have left as not heard; runners of the version that has the part need not be heard. Lists that are cut or not the expected document are no answers. An answer holds for 1 s. CacheQueries asks the runners; it was a part of the router. The test fixture lists both versions from the start: it had replaced a runner of v1 by one of v2, which may have begun the stream and is now a case of its own.

--- /dev/null
+++ b/src/proxy/CacheQueries.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "proxy/CacheSurvey.h"
+#include "runners/Registry.h"
+#include "runners/VersionHistory.h"
+#include "upstream/ConnectionPool.h"
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace eelgrassford::proxy {
+
+/// @brief Asks the runners of services for their caches, to find out which software began streams that no daemon knows.
+/// Not safe to share between threads.
+class CacheQueries {
+public:
+    using Clock = std::function<TimePoint()>;
+    /// Returns the connections to a runner.
+    using Pools = std::function<upstream::ConnectionPool&(const runners::Runner& runner)>;
+
+    /// All references must outlive the object.
+    CacheQueries(asio::io_context& context, const Codec& codec, runners::Registry& registry,
+        const runners::VersionHistory& versions, Pools pools, Clock clock);
+    ~CacheQueries();
+    CacheQueries(const CacheQueries&) = delete;
+    CacheQueries& operator=(const CacheQueries&) = delete;
+
+    /// @brief Finds the software of a service that read the last part of a prompt.
+    /// @param finder called later, or at once, with the software; without it if that cannot be told in time
+    void find(const std::string& service, const PromptPart& lastPart, CacheSurvey::Finder finder);
+    /// @brief Records that a runner leaves the listing, or is replaced by another lifetime of it. It may have begun
+    /// streams, and cannot be asked any more.
+    void onRunnerRemoved(const runners::Runner& runner);
+    /// @brief Takes into account that the listing of the runners has changed.
+    void onRunnersChanged();
+
+private:
+    /// The survey of a service and the queries that were sent for it.
+    struct Service {
+        CacheSurvey survey;
+        std::vector<upstream::ConnectionPool::Handle> queries;
+        TimePoint begunAt {};
+        std::size_t asked = 0;
+        std::size_t concluded = 0;
+    };
+
+    /// A runner that left the listing.
+    struct Departed {
+        std::string service;
+        std::uint64_t identity = 0;
+        std::uint64_t software = runners::unknownSoftware;
+        TimePoint leftAt {};
+    };
+
+    void advance(const std::string& name);
+    void updateCandidates(const std::string& name, CacheSurvey& survey, TimePoint now);
+    void query(const std::string& name, const std::string& runner);
+    void onAnswer(const std::string& name, const std::string& runner, std::uint64_t identity, const std::string& body);
+    void finish(const std::string& name, Service& service, TimePoint now);
+    void armTimer();
+
+    const Codec& m_codec;
+    runners::Registry& m_registry;
+    const runners::VersionHistory& m_versions;
+    Pools m_pools;
+    Clock m_clock;
+    std::map<std::string, Service> m_services;
+    /// In the order in which they left.
+    std::deque<Departed> m_departed;
+    asio::steady_timer m_timer;
+    bool m_isTimerArmed = false;
+    /// Queries and timers may end after this object.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+}
--- a/src/proxy/Codec.h
+++ b/src/proxy/Codec.h
@@ -111,8 +111,8 @@
     /// @brief Request line and headers, without the Host header, that ask a runner for its cached parts of prompts.
     virtual std::string encodeCacheQuery() const = 0;
     /// @brief Decodes the response to that request.
-    /// @return the parts with their cached tokens; empty if the response cannot be read
-    virtual std::vector<PromptPart> decodeCachedParts(std::string_view body) const = 0;
+    /// @return the parts with their cached tokens; nothing if the response is not the expected document
+    virtual std::optional<std::vector<PromptPart>> decodeCachedParts(std::string_view body) const = 0;
     /// @brief Headers of a response that the daemon generates itself.
     /// @param retryAfter time after which the caller may try again, if any
     virtual gateway::Headers encodeRefusal(const std::string& attemptId, std::optional<Duration> retryAfter) const = 0;
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -70,6 +70,9 @@
     , m_promptIndex(options.promptIndexCapacity)
     , m_versionHistory(options.versionHistory)
     , m_streamOrigins(options.streamOrigins)
+    , m_cacheQueries(
+          context, codec, m_registry,
+          m_versionHistory, [this](const runners::Runner& runner) -> auto& { return poolOf(runner); }, m_clock)
     , m_routineLines(options.routineLinesPerSecond)
     , m_startedAt(m_clock())
 {
@@ -287,12 +290,15 @@
     if (m_versionHistory.soleVersions(m_clock()).size() < soleBefore.size())
         publishOrigins(m_clock());
     m_registry.apply(entries, m_clock(), [this](const std::string& id) {
+        const auto* removed = m_registry.find(id);
+        m_cacheQueries.onRunnerRemoved(*removed);
         const auto pool = m_pools.find(id);
         if (pool == m_pools.end())
             return;
-        m_removedRunnerConnections[m_registry.find(id)->entry.service] += pool->second->openedCount();
+        m_removedRunnerConnections[removed->entry.service] += pool->second->openedCount();
         m_pools.erase(pool);
     });
+    m_cacheQueries.onRunnersChanged();
 }
 
 void Router::confirmConfiguration(TimePoint confirmedAt)
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -5,7 +5,7 @@
 #include "dispatch/WindowedRetryBudget.h"
 #include "fleet/Members.h"
 #include "gateway/Http.h"
-#include "proxy/CacheSurvey.h"
+#include "proxy/CacheQueries.h"
 #include "proxy/Codec.h"
 #include "proxy/OriginDirectory.h"
 #include "proxy/OverloadControl.h"
@@ -203,10 +203,6 @@
     void recordOrigins(std::span<const dispatch::StreamOrigin> origins, std::string_view service, TimePoint now);
     /// Gives the origins of all streams to the other daemons.
     void publishOrigins(TimePoint now);
-    /// Called with the software that began a stream, or without it.
-    using OriginFinder = OriginDirectory::Finder;
-    /// Asks the runners of a service which software has read a prompt.
-    void findInCaches(const std::string& service, const PromptPart& lastPart, OriginFinder finder);
     /// The software that began every stream of a route; empty if there may be several.
     std::optional<std::uint64_t> soleSoftware(const routing::Route& route, TimePoint now) const;
     /// The service of a route in which a runner runs the software; empty if there is none.
@@ -261,19 +257,7 @@
     /// Streams that this daemon relayed, with the software that began them.
     dispatch::StreamOrigins m_streamOrigins;
     OriginDirectory* m_directory = nullptr;
-    /// A survey of the caches of a service, running or finished.
-    struct RunningSurvey {
-        CacheSurvey survey;
-        std::vector<std::pair<PromptPart, OriginFinder>> waiting;
-        std::vector<upstream::ConnectionPool::Handle> queries;
-        std::size_t unanswered = 0;
-        TimePoint begunAt {};
-        bool isFinished = false;
-    };
-    /// The last survey of each service.
-    std::map<std::string, std::shared_ptr<RunningSurvey>> m_surveys;
-    void startSurvey(const std::string& service, const std::shared_ptr<RunningSurvey>& survey, TimePoint now);
-    void finishSurvey(const std::string& service, RunningSurvey& survey);
+    CacheQueries m_cacheQueries;
     std::vector<std::string> m_otherIps;
     std::map<std::string, std::unique_ptr<upstream::ConnectionPool>> m_daemonPools;
     /// Daemons that refused a request because they reach no runner, with the time of the last refusal.
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -46,7 +46,7 @@
         continueAt(sole, "sole-version");
         return;
     }
-    m_router.findInCaches(
+    m_router.m_cacheQueries.find(
         m_admitted.service, prompt.back(), [self = shared_from_this()](std::optional<std::uint64_t> software) {
             if (self->m_isFinished)
                 return;
--- a/src/runners/VersionHistory.h
+++ b/src/runners/VersionHistory.h
@@ -45,6 +45,8 @@
     /// @brief The version that began every stream of the service that can still be continued; empty if there were
     /// several, if its runners do not state it, or if this daemon does not know for long enough.
     std::optional<std::uint64_t> soleVersion(std::string_view service, TimePoint now) const;
+    /// @brief Time for which callers may continue a stream after it began.
+    Duration window() const { return m_options.window; }
     /// @brief The services that one version alone serves as far as this daemon knows, however short that is.
     std::vector<SoleVersion> soleVersions(TimePoint now) const;
 
--- a/tests/proxy/RouterFixture.h
+++ b/tests/proxy/RouterFixture.h
@@ -77,17 +77,27 @@
     tests::Listener secondRunner { context };
     std::shared_ptr<Peer> caller;
 
-    explicit RouterFixture(const proxy::RouterOptions& routerOptions = options())
+    /// @param secondVersion software version of the second runner; that of the first one is v1
+    explicit RouterFixture(
+        const proxy::RouterOptions& routerOptions = options(), const std::string& secondVersion = "v1")
         : router(context, routerOptions, codec, metrics,
             [this] { return frozenAt.value_or(daemon::currentTime()) + clockOffset; })
     {
         router.setRoutes(routeTable());
-        router.setRunners(std::vector<runners::RunnerEntry> {
-            runnerEntry("r-1", firstRunner.port()), runnerEntry("r-2", secondRunner.port()) });
+        list("v1", secondVersion);
         router.confirmConfiguration(confirmedAt);
         server.startAccepting();
     }
 
+    void list(const std::string& firstVersion, const std::string& secondVersion)
+    {
+        auto first = runnerEntry("r-1", firstRunner.port());
+        auto second = runnerEntry("r-2", secondRunner.port());
+        first.version = firstVersion;
+        second.version = secondVersion;
+        router.setRunners(std::vector<runners::RunnerEntry> { first, second });
+    }
+
     static proxy::RouterOptions options()
     {
         proxy::RouterOptions result;
--- a/tests/proxy/StreamVersionTest.cpp
+++ b/tests/proxy/StreamVersionTest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/RouterFixture.h"
+#include "proxy/VersionsFixture.h"
 
 using namespace eelgrassford;
 using tests::chunk;
@@ -9,39 +9,8 @@
 
 namespace {
 
-/// Runners of two software versions in one service.
-struct Fixture : tests::RouterFixture {
-    Fixture() { list("v1", "v2"); }
-
-    void list(const std::string& firstVersion, const std::string& secondVersion)
-    {
-        auto first = runnerEntry("r-1", firstRunner.port());
-        auto second = runnerEntry("r-2", secondRunner.port());
-        first.version = firstVersion;
-        second.version = secondVersion;
-        router.setRunners(std::vector<runners::RunnerEntry> { first, second });
-    }
-
-    /// Begins a stream that breaks off after its second event. Returns the id of the runner that began it.
-    std::string beginAndBreak()
-    {
-        call("POST", "/stream/1");
-        auto& runner = awaitRequest(requestCount() + 1);
-        const std::string id = runner.has("X-Expect-Instance: r-1") ? "r-1" : "r-2";
-        runner.send(streamHead("s-1") + chunk(event(1) + event(2)));
-        awaitAnswer("e2\n\n");
-        runner.reset();
-        return id;
-    }
-
-    /// Sends a request that continues a stream, and waits until it is answered or reaches a runner.
-    void continueStream(const std::string& headers)
-    {
-        const auto before = requestCount();
-        caller = connect("POST", "/stream/1", "again", headers);
-        runUntil(context, [&] { return requestCount() > before || caller->has("HTTP/1.1 "); });
-    }
-};
+using Fixture = tests::VersionsFixture;
+using tests::FleetFixture;
 
 }
 
@@ -95,41 +64,6 @@
     CHECK(fixture.caller->has("HTTP/1.1 503"));
 }
 
-namespace {
-
-/// Other daemons that answer when the test lets them.
-struct OtherDaemons : proxy::OriginDirectory {
-    std::vector<dispatch::StreamOrigin> published;
-    std::vector<std::pair<dispatch::StreamKey, Finder>> questions;
-
-    void publish(std::vector<dispatch::StreamOrigin> origins) override
-    {
-        published.insert(published.end(), origins.begin(), origins.end());
-    }
-    void find(dispatch::StreamKey stream, Finder finder) override { questions.emplace_back(stream, std::move(finder)); }
-};
-
-struct FleetFixture : Fixture {
-    OtherDaemons others;
-
-    FleetFixture() { router.setOriginDirectory(&others); }
-
-    /// Sends a request that continues a stream of another daemon, and waits for the question.
-    void continueForeign(const std::string& headers = {})
-    {
-        caller = connect("POST", "/stream/1", "again", "Last-Event-Id: 2\r\nResumes: first\r\n" + headers);
-        runUntil(context, [&] { return !others.questions.empty(); });
-    }
-    std::uint64_t software(const std::string& version)
-    {
-        auto entry = runnerEntry("r", 1);
-        entry.version = version;
-        return runners::softwareOf(entry);
-    }
-};
-
-}
-
 TEST_CASE("other daemons are told which software began a stream with its first event, and again by a stopping daemon")
 {
     FleetFixture fixture;
