Begin each listing of the store at its first page

A daemon could keep removed entries, miss others and go back in its revision.

Cause: a full copy from another daemon makes an unfinished listing needless, and its pages and cursor stayed. If the history was lost later, the next listing went on after that cursor, with the revision of the old first page.

Change: forgetPages() wherever a listing is given up.

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -92,18 +92,22 @@
     m_isQueryPending = false;
     m_failure = std::move(detail);
     ++m_failures;
-    m_listedItems.clear();
-    m_lastListedKey.clear();
+    forgetPages();
     const auto delay = m_isStandby ? m_options.standbyRetryDelay : m_retryDelay;
     m_nextQueryAt = now + fromSeconds(toSeconds(delay) * (0.5 + m_random()));
     m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
 }
 
-void Mirror::restartQuery(TimePoint now)
+void Mirror::forgetPages()
 {
-    m_isQueryPending = false;
     m_listedItems.clear();
     m_lastListedKey.clear();
+}
+
+void Mirror::restartQuery(TimePoint now)
+{
+    m_isQueryPending = false;
+    forgetPages();
     m_nextQueryAt = now;
 }
 
@@ -185,8 +189,7 @@
     for (const auto& [key, item] : m_listedItems)
         hasChanged = storeItem(item, now) || hasChanged;
     m_revision = m_listRevision;
-    m_listedItems.clear();
-    m_lastListedKey.clear();
+    forgetPages();
     m_isListing = false;
     m_isComplete = true;
     return hasChanged;
@@ -377,6 +380,8 @@
         m_isComplete = true;
         // A pending query is a page of the first listing, which goes on: the next response must not be read as changes.
         m_isListing = m_isQueryPending;
+        if (!m_isListing)
+            forgetPages();
         hasChanged = true;
     }
     return hasChanged;
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -166,6 +166,8 @@
     void startEra(std::uint64_t era, TimePoint now);
     /// Whether a document that belongs to a later era than a known one describes an earlier state, or the same one.
     std::partial_ordering compareAcrossEras(const Item& item, Revision known, std::string_view knownValue) const;
+    /// Forgets the pages of an unfinished listing.
+    void forgetPages();
     bool onPage(std::string_view body, TimePoint now);
     bool onChanges(std::string_view body, TimePoint now);
     bool storeItem(const Item& item, TimePoint now);
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -369,3 +369,17 @@
     CHECK(fixture.mirror.items().contains("b"));
     CHECK(fixture.mirror.completeRevision() == 10);
 }
+
+// Guards against items that are missing, or stay for good, after a listing that went on from the page of an earlier
+// one.
+TEST_CASE("a listing that a copy made needless leaves nothing to the next listing")
+{
+    Fixture fixture;
+    fixture.protocol.pages["first"] = { { { "a", "1", 5 } }, true, 10 };
+    fixture.startQuery(start);
+    fixture.mirror.handleResponse(200, "first", start);
+    fixture.mirror.merge({ 0, 12, { { "a", "1", 5 }, { "b", "1", 11 } }, {}, true }, start);
+    CHECK(fixture.startQuery(start) == "watch:12:1000");
+    fixture.mirror.handleResponse(410, "", start);
+    CHECK(fixture.startQuery(start) == "list:");
+}
