Drop doubted items that a copy or a second listing lacks

An entry that a restored store listed although it was known to be removed came back after 5 s, for good, though it had been removed again meanwhile.

Cause: a full copy compared only the known items with its own, not the doubted ones; and a listing that dropped a doubted item recorded no removal, so that the daemons that follow kept doubting it.

Change: both treat a doubted item that is missing as removed.

--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -178,14 +178,8 @@
         m_forgottenRevision = toRevision(eraOf(m_listRevision), 0);
     }
     bool hasChanged = !m_isComplete;
-    std::vector<std::string> missing;
-    for (const auto& [key, item] : m_items) {
-        if (!m_listedItems.contains(key))
-            missing.push_back(key);
-    }
-    for (const auto& key : missing)
+    for (const auto& key : missingFrom([this](const std::string& key) { return m_listedItems.contains(key); }))
         hasChanged = removeItem(key, m_listRevision, m_graceUntil, now) || hasChanged;
-    std::erase_if(m_doubted, [this](const auto& doubted) { return !m_listedItems.contains(doubted.first); });
     for (const auto& [key, item] : m_listedItems)
         hasChanged = storeItem(item, now) || hasChanged;
     m_revision = m_listRevision;
@@ -195,6 +189,20 @@
     return hasChanged;
 }
 
+std::vector<std::string> Mirror::missingFrom(const std::function<bool(const std::string& key)>& isPresent) const
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, item] : m_items) {
+        if (!isPresent(key))
+            missing.push_back(key);
+    }
+    for (const auto& [key, doubted] : m_doubted) {
+        if (!m_items.contains(key) && !isPresent(key))
+            missing.push_back(key);
+    }
+    return missing;
+}
+
 void Mirror::extendGraceAfterOutage(TimePoint now)
 {
     // Time without a query is no outage: a mirror that other daemons keep current does not query the store.
@@ -355,12 +363,7 @@
         std::set<std::string_view> present;
         for (const auto& item : delta.items)
             present.insert(item.key);
-        std::vector<std::string> missing;
-        for (const auto& [key, item] : m_items) {
-            if (!present.contains(key))
-                missing.push_back(key);
-        }
-        for (const auto& key : missing)
+        for (const auto& key : missingFrom([&](const std::string& key) { return present.contains(key); }))
             hasChanged = removeItem(key, delta.completeRevision, isLaterEra ? m_graceUntil : now, now) || hasChanged;
     }
     for (const auto& item : delta.items)
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -175,6 +175,8 @@
     void doubt(const Item& item, TimePoint takenAt);
     bool removeItem(const std::string& key, std::uint64_t revision, TimePoint keptUntil, TimePoint now);
     bool finishListing(TimePoint now);
+    /// Keys of known items, doubted ones too, that a listing or copy lacks.
+    std::vector<std::string> missingFrom(const std::function<bool(const std::string& key)>& isPresent) const;
     void extendGraceAfterOutage(TimePoint now);
     void recordSuccess(TimePoint provenAt, TimePoint now);
 
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -30,12 +30,16 @@
         m_items.erase(key);
         m_events.push_back({ { "key", key }, { "revision", ++m_revision }, { "tombstone", true } });
     }
+    void forgetHistory()
+    {
+        m_firstRevision = m_revision;
+        m_events.clear();
+    }
     void save() { m_copy = { m_items, m_revision }; }
     void restore()
     {
         std::tie(m_items, m_revision) = m_copy;
-        m_firstRevision = m_revision;
-        m_events.clear();
+        forgetHistory();
         ++m_era;
     }
 
@@ -419,3 +423,37 @@
         CHECK(fixture.valueOf(key) == mark);
     }
 }
+
+// Guards against removed items that come back for good after a copy was taken from another daemon.
+TEST_CASE("an item that was doubted and that a full copy or a later listing lacks does not come back")
+{
+    Fixture fixture;
+    auto follower = fixture.createMirror();
+    fixture.store.remove("b");
+    fixture.run();
+    fixture.store.restore();
+    fixture.run(milliseconds(400));
+    CHECK(fixture.valueOf("b").empty());
+    auto since = fixture.mirror.completeRevision();
+    SUBCASE("another daemon lists the store after the second removal")
+    {
+        fixture.store.remove("b");
+        fixture.store.answer(follower, fixture.now);
+        fixture.mirror.merge(follower.changesSince(0, fixture.now), fixture.now);
+    }
+    SUBCASE("this daemon lists the store again, and another one follows it")
+    {
+        follower.merge(fixture.mirror.changesSince(0, fixture.now), fixture.now);
+        follower.setReading(false);
+        since = follower.completeRevision();
+        fixture.store.remove("b");
+        fixture.store.forgetHistory();
+        fixture.run(milliseconds(400));
+        follower.merge(fixture.mirror.changesSince(since, fixture.now), fixture.now);
+    }
+    fixture.now += std::chrono::seconds(10);
+    fixture.mirror.dropExpired(fixture.now);
+    follower.dropExpired(fixture.now);
+    CHECK(fixture.valueOf("b").empty());
+    CHECK_FALSE(follower.items().contains("b"));
+}
