Give incremental changes only from where all removals are known

Cause: a daemon that starts knows no removals from before its listing, but gave others increments since any revision, and its announcement and proofs covered only the newest listed item. The receiver took its own mirror for complete past the removal. Evidence: no daemon logs the removal; the unit test shows increments without it.

Change: each listing, copy and later era sets the mark from which removals are known (Mirror::jumpTo), announcements cover it, and a delta since before it is a full copy. Daemons look for one that has increments for 300 ms before they take a copy. After a second listing only the gap before it needs copies. Increments say whether they are whole; those of the release before do not, and a copy is asked for besides, at most every 2 s. Copies tell which items may have lapsed.

--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -12,6 +12,13 @@
 namespace {
 
     constexpr std::string_view changesTarget = "/mirror?since=";
+    /// Follows the revision in a request for changes that is to be refused rather than answered with a full copy.
+    constexpr std::string_view noCopyParameter = "&copy=0";
+    constexpr std::uint16_t statusOk = 200;
+    /// The changes since a revision are only to be had as a full copy.
+    constexpr std::uint16_t statusConflict = 409;
+    /// Shortest time between full copies from daemons of earlier releases, whose changes may lack removals.
+    constexpr Duration copyInterval = std::chrono::seconds(2);
     constexpr Duration fetchTimeout = std::chrono::milliseconds(700);
     /// Time after a fetch that timed out in which fetches open connections instead of reusing them.
     constexpr Duration newConnectionsPeriod = std::chrono::seconds(30);
@@ -242,7 +249,7 @@
     m_missedChanges.recordPeer(changeRevision, m_mirror.completeRevision(), now);
     const bool hasPeerMore = changeRevision > m_mirror.completeRevision();
     if (hasPeerMore && m_missedChanges.shouldFetch(m_wasReader, now))
-        fetch(ip);
+        fetch(ip, m_mirror.completeRevision());
 }
 
 void FleetLink::logMissedChanges(TimePoint now)
@@ -262,20 +269,22 @@
     }
 }
 
-void FleetLink::fetch(const std::string& ip)
+void FleetLink::fetch(const std::string& ip, store::Revision since)
 {
     if (std::exchange(m_isFetchingChanges, true))
         return;
+    const bool mayCopy = since == 0 || m_missedChanges.needsCopy(currentTime());
     ++m_fetchCount;
     upstream::Call call;
     call.url = "http://" + ip + ":" + std::to_string(m_settings.fleetPort) + std::string(changesTarget)
-        + std::to_string(m_mirror.isComplete() ? m_mirror.completeRevision() : 0);
+        + std::to_string(since) + std::string(mayCopy ? "" : noCopyParameter);
     call.timeout = fetchTimeout;
     call.connectTimeout = fetchTimeout;
     call.needsNewConnection = currentTime() < m_newConnectionsUntil;
     m_client.fetch(call, [this, ip](const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
-        constexpr std::uint16_t statusOk = 200;
         m_isFetchingChanges = false;
+        if (result.end == upstream::CallEnd::Complete && status == statusConflict)
+            return;
         if (result.end != upstream::CallEnd::Complete || status != statusOk) {
             // What silenced one connection may have silenced those to the other daemons as well.
             if (result.end == upstream::CallEnd::TimedOut)
@@ -289,14 +298,25 @@
             telemetry::logWarning("changes-unreadable", { { "peer", ip }, { "detail", delta.error().what } });
             return;
         }
-        if (!m_mirror.merge(*delta, currentTime()))
-            return;
-        // Messages with the new revision let other daemons that are behind fetch from here.
-        m_gossip.expedite(currentTime());
-        m_events.mirrorChanged();
+        takeDelta(ip, *delta);
     });
 }
 
+void FleetLink::takeDelta(const std::string& ip, const store::Delta& delta)
+{
+    const auto now = currentTime();
+    const bool hasChanged = m_mirror.merge(delta, now);
+    if (!delta.isFull && !delta.hasAllRemovals && now >= m_nextCopyAt) {
+        m_nextCopyAt = now + copyInterval;
+        fetch(ip, 0);
+    }
+    if (!hasChanged)
+        return;
+    // Messages with the new revision let other daemons that are behind fetch from here.
+    m_gossip.expedite(now);
+    m_events.mirrorChanged();
+}
+
 gateway::HttpResponse FleetLink::serve(const gateway::HttpRequest& request)
 {
     const std::string_view target = request.target;
@@ -307,6 +327,8 @@
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), since);
     if (parsed.ec != std::errc {} || !m_mirror.isComplete())
         return { 503, {}, "" };
+    if (m_mirror.needsFullCopy(since) && target.ends_with(noCopyParameter))
+        return { statusConflict, {}, "" };
     const auto now = currentTime();
     auto delta = store::encode(m_mirror.changesSince(since, now));
     // The requester retries, with this daemon or with another one that has the changes by then.
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -74,7 +74,10 @@
     void checkForMissedChanges(const std::string& ip, std::uint64_t changeRevision, TimePoint now);
     /// Logs that changes that other daemons hold are missing for long, and that they have come.
     void logMissedChanges(TimePoint now);
-    void fetch(const std::string& ip);
+    /// Asks another daemon for the changes since a revision, 0 for a full copy.
+    void fetch(const std::string& ip, store::Revision since);
+    /// Merges the changes that another daemon sent.
+    void takeDelta(const std::string& ip, const store::Delta& delta);
     gateway::HttpResponse serve(const gateway::HttpRequest& request);
 
     RelaySettings m_settings;
@@ -97,6 +100,7 @@
     TimePoint m_nextMembersLogAt {};
     bool m_isFetchingChanges = false;
     TimePoint m_newConnectionsUntil {};
+    TimePoint m_nextCopyAt {};
     bool m_wasReader = true;
 };
 
--- a/src/fleet/MissedChanges.cpp
+++ b/src/fleet/MissedChanges.cpp
@@ -49,6 +49,11 @@
     return !m_changes.empty() && (!isReader || now - m_changes.front().heardAt >= m_options.readerFetchDelay);
 }
 
+bool MissedChanges::needsCopy(TimePoint now) const
+{
+    return !m_changes.empty() && now - m_changes.front().heardAt >= m_options.copyDelay;
+}
+
 bool MissedChanges::isOverdue(TimePoint now) const
 {
     return !m_changes.empty() && now - m_changes.front().heardAt > m_options.maxTimeBehind;
--- a/src/fleet/MissedChanges.h
+++ b/src/fleet/MissedChanges.h
@@ -17,6 +17,9 @@
         Duration readerFetchDelay = std::chrono::milliseconds(300);
         /// Time behind another daemon after which this one queries the store itself.
         Duration maxTimeBehind = std::chrono::milliseconds(1000);
+        /// Time behind another daemon after which this one takes a full copy. Until then a daemon is looked for that
+        /// knows all removals since this one's revision.
+        Duration copyDelay = std::chrono::milliseconds(300);
     };
 
     explicit MissedChanges(const Options& options);
@@ -32,6 +35,8 @@
     /// @brief Whether to fetch the missing changes from another daemon that has them.
     /// @param isReader whether this daemon queries the store itself
     bool shouldFetch(bool isReader, TimePoint now) const;
+    /// @brief Whether the changes are missing for so long that a full copy should be taken.
+    bool needsCopy(TimePoint now) const;
     /// @brief Whether the changes are missing for so long that this daemon should query the store itself.
     bool isOverdue(TimePoint now) const;
 
--- a/src/store/DeltaCodec.cpp
+++ b/src/store/DeltaCodec.cpp
@@ -70,7 +70,9 @@
         doubted.push_back({ item.key, toBinary(item.value), item.revision,
             std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count() });
     std::string plain;
-    json::to_cbor(json { delta.since, delta.completeRevision, delta.isFull, items, removals, doubted }, plain);
+    json::to_cbor(
+        json { delta.since, delta.completeRevision, delta.isFull, items, removals, doubted, delta.hasAllRemovals },
+        plain);
     std::string bytes;
     json::to_cbor(json { plain.size(), toBinary(compress(plain)) }, bytes);
     return bytes;
@@ -104,6 +106,7 @@
                 delta.doubted.push_back(
                     { toItem(doubted), std::chrono::milliseconds(doubted.at(3).get<std::int64_t>()) });
         }
+        delta.hasAllRemovals = document.size() > 6 && document.at(6).get<bool>();
         return delta;
     } catch (const json::exception& error) {
         return tl::unexpected(ProtocolError { error.what() });
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -175,8 +175,9 @@
     if (m_isComplete && !isSameEra(m_revision, m_listRevision)) {
         // Live owners write their items again. The items of the earlier era are no base for incremental changes.
         m_graceUntil = now + m_options.lapseGrace;
-        m_forgottenRevision = toRevision(eraOf(m_listRevision), 0);
+        m_unknownUntil = toRevision(eraOf(m_listRevision), 0);
     }
+    jumpTo(m_listRevision);
     bool hasChanged = !m_isComplete;
     for (const auto& key : missingFrom([this](const std::string& key) { return m_listedItems.contains(key); }))
         hasChanged = removeItem(key, m_listRevision, m_graceUntil, now) || hasChanged;
@@ -203,6 +204,19 @@
     return missing;
 }
 
+void Mirror::jumpTo(Revision revision)
+{
+    if (m_isComplete) {
+        // Only one gap is kept.
+        m_unknownUntil = std::max(m_unknownUntil, m_gapEnd);
+        m_gapBegin = m_revision;
+        m_gapEnd = revision;
+    } else {
+        m_unknownUntil = std::max(m_unknownUntil, revision);
+    }
+    m_changeRevision = std::max(m_changeRevision, revision);
+}
+
 void Mirror::extendGraceAfterOutage(TimePoint now)
 {
     // Time without a query is no outage: a mirror that other daemons keep current does not query the store.
@@ -308,7 +322,7 @@
     if (found != m_items.end())
         removed.value = found->second.value;
     if (m_removals.size() > m_options.maxRemovals) {
-        m_forgottenRevision = m_changeRevision;
+        m_unknownUntil = m_changeRevision;
         m_removals.clear();
     }
     if (found == m_items.end())
@@ -322,20 +336,26 @@
     return true;
 }
 
+bool Mirror::needsFullCopy(Revision since) const
+{
+    return since == 0 || since < m_unknownUntil || (since > m_gapBegin && since < m_gapEnd);
+}
+
 Delta Mirror::changesSince(std::uint64_t revision, TimePoint now) const
 {
     Delta delta;
     delta.since = revision;
     delta.completeRevision = m_revision;
-    delta.isFull = revision == 0 || revision < m_forgottenRevision;
+    delta.isFull = needsFullCopy(revision);
     for (const auto& [key, item] : m_items) {
         if (delta.isFull || item.revision > revision)
             delta.items.push_back(item);
     }
     for (const auto& [key, removed] : m_removals) {
-        if (removed.revision <= revision)
-            continue;
         const auto lapsed = m_lapsed.find(key);
+        // A copy holds items that may have lapsed; only their removals tell them from others.
+        if (removed.revision <= revision && !(delta.isFull && lapsed != m_lapsed.end()))
+            continue;
         const auto grace
             = lapsed == m_lapsed.end() ? Duration::zero() : std::max(lapsed->second - now, Duration::zero());
         delta.removals.push_back({ key, removed.revision, grace });
@@ -356,10 +376,11 @@
     const bool isLaterEra = m_isComplete && eraOf(delta.completeRevision) > eraOf(m_revision);
     if (isLaterEra) {
         m_graceUntil = now + m_options.lapseGrace;
-        m_forgottenRevision = toRevision(eraOf(delta.completeRevision), 0);
+        m_unknownUntil = toRevision(eraOf(delta.completeRevision), 0);
     }
     bool hasChanged = false;
     if (delta.isFull) {
+        jumpTo(delta.completeRevision);
         std::set<std::string_view> present;
         for (const auto& item : delta.items)
             present.insert(item.key);
@@ -376,6 +397,8 @@
             doubt(item, now + remaining);
     }
     m_revision = std::max(m_revision, delta.completeRevision);
+    if (!delta.isFull && !delta.hasAllRemovals)
+        m_unknownUntil = m_revision;
     if (isLaterEra)
         m_era = eraOf(m_revision);
     confirmCurrent(now);
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -37,6 +37,9 @@
     std::vector<Removal> removals;
     /// Whether the items are all items of the sender, rather than the changed ones.
     bool isFull = false;
+    /// Whether the sender knows every removal since then. Daemons of earlier releases do not tell, and may not know
+    /// those from before they started.
+    bool hasAllRemovals = true;
     /// @brief A listed item that is taken only if it stays listed.
     struct Doubted {
         Item item;
@@ -120,13 +123,16 @@
     /// @brief Chooses whether this mirror queries the store as a standby. While the store is down, all daemons of a
     /// fleet are without proofs; as standbys they do not retry as often as the few readers.
     void setStandby(bool isStandby) { m_isStandby = isStandby; }
-    /// @brief Revision of the newest change that the mirror holds.
+    /// @brief Revision of the newest change that the mirror holds. A listing counts as one: it holds the removals from
+    /// before it without telling them.
     std::uint64_t changeRevision() const { return m_changeRevision; }
     /// @brief Revision up to which the mirror holds every change, 0 before the first complete listing. It may be lower
     /// than changeRevision(), because the pages of a listing may show some later changes.
     std::uint64_t completeRevision() const { return m_isComplete ? m_revision : 0; }
+    /// @brief Whether the removals since a revision are not all known, so that a delta since then is a full copy.
+    bool needsFullCopy(Revision since) const;
     /// @brief Delta for another daemon's mirror that is complete up to a revision; a full copy for revision 0, or if
-    /// the removals since then are forgotten.
+    /// the removals since then are not all known.
     Delta changesSince(std::uint64_t revision, TimePoint now) const;
     /// @brief Applies a delta of another daemon. Ignores an incremental one that starts after completeRevision().
     /// @return whether any item changed
@@ -177,6 +183,8 @@
     bool finishListing(TimePoint now);
     /// Keys of known items, doubted ones too, that a listing or copy lacks.
     std::vector<std::string> missingFrom(const std::function<bool(const std::string& key)>& isPresent) const;
+    /// Records that the items are those of a revision, whichever removals led to them.
+    void jumpTo(Revision revision);
     void extendGraceAfterOutage(TimePoint now);
     void recordSuccess(TimePoint provenAt, TimePoint now);
 
@@ -189,8 +197,12 @@
     std::map<std::string, TimePoint> m_lapsed;
     std::map<std::string, Removed> m_removals;
     std::map<std::string, Doubted> m_doubted;
-    /// Removals up to this revision are forgotten; a delta since an older one is a full copy.
-    std::uint64_t m_forgottenRevision = 0;
+    /// Removals up to this revision are not known; a delta since an older one is a full copy.
+    Revision m_unknownUntil = 0;
+    /// The last listing or full copy of a mirror that was complete before: items that were both added and removed in
+    /// between are not known, so that a delta since a revision in between is a full copy.
+    Revision m_gapBegin = 0;
+    Revision m_gapEnd = 0;
     std::uint64_t m_changeRevision = 0;
     /// Era of the store that the mirror belongs to.
     std::optional<std::uint64_t> m_era;
--- a/tests/edge/FleetLinkTest.cpp
+++ b/tests/edge/FleetLinkTest.cpp
@@ -108,3 +108,15 @@
     CHECK_FALSE(fleet.refused.mirror.provenAt());
     CHECK(*fleet.refused.link.provenAt() <= *fleet.informed.mirror.provenAt());
 }
+
+// Guards against runners that stay listed for good at a daemon that was alone while the others started again.
+TEST_CASE("a daemon learns of a removal from a daemon that started after it")
+{
+    RefusedReader fleet;
+    fleet.refused.mirror.merge({ 10, 11, { { "gone", "old", 11 } }, {}, false }, currentTime());
+    // The other daemon has listed the store since; it never saw the item.
+    fleet.informed.mirror.merge({ 0, 12, { { "key", "old", 10 } }, {}, true }, currentTime());
+    fleet.informed.link.announce(currentTime());
+    fleet.runUntil([&] { return !fleet.refused.mirror.items().contains("gone"); });
+    CHECK(fleet.refused.mirror.completeRevision() == 12);
+}
--- a/tests/fleet/MissedChangesTest.cpp
+++ b/tests/fleet/MissedChangesTest.cpp
@@ -66,3 +66,14 @@
     missed.recordOwn(11);
     CHECK_FALSE(missed.isOverdue(start + milliseconds(1002)));
 }
+
+TEST_CASE("a full copy is taken only if no other daemon had the changes for a while")
+{
+    MissedChanges missed;
+    CHECK_FALSE(missed.needsCopy(start));
+    missed.recordPeer(11, 10, start);
+    CHECK_FALSE(missed.needsCopy(start + milliseconds(299)));
+    CHECK(missed.needsCopy(start + milliseconds(300)));
+    missed.recordOwn(11);
+    CHECK_FALSE(missed.needsCopy(start + milliseconds(300)));
+}
--- a/tests/store/MirrorTest.cpp
+++ b/tests/store/MirrorTest.cpp
@@ -383,3 +383,52 @@
     fixture.mirror.handleResponse(410, "", start);
     CHECK(fixture.startQuery(start) == "list:");
 }
+
+// Guards against items that stay listed for good at a daemon to which nobody
+// ever tells their removal.
+TEST_CASE("a mirror that knows no removals from before its first listing gives "
+          "a full copy to one from before it")
+{
+    Fixture follower;
+    follower.mirror.merge({ 0, 8, { { "a", "1", 5 }, { "b", "1", 6 }, { "c", "1", 7 } }, {}, true }, start);
+    Fixture restarted;
+    restarted.completeListing(start);
+    // The announcement covers the removals, of which the items say nothing.
+    CHECK(restarted.mirror.changeRevision() > follower.mirror.completeRevision());
+    const auto delta = restarted.mirror.changesSince(follower.mirror.completeRevision(), start);
+    CHECK(delta.isFull);
+    follower.mirror.merge(delta, start);
+    CHECK_FALSE(follower.mirror.items().contains("c"));
+    // The copy is no base for other mirrors' earlier revisions either.
+    CHECK(follower.mirror.changesSince(9, start).isFull);
+    CHECK_FALSE(follower.mirror.changesSince(10, start).isFull);
+}
+
+TEST_CASE("after a second listing only mirrors that were complete within the "
+          "gap before it need a full copy")
+{
+    Fixture fixture;
+    fixture.completeListing(start);
+    fixture.startQuery(start);
+    fixture.mirror.handleResponse(410, "", start);
+    fixture.protocol.pages["later"] = { { { "a", "1", 5 } }, false, 20 };
+    fixture.startQuery(start);
+    fixture.mirror.handleResponse(200, "later", start);
+    // The removal of b is known; an item that was added and removed in between is
+    // not.
+    CHECK_FALSE(fixture.mirror.changesSince(10, start).isFull);
+    CHECK(fixture.mirror.changesSince(15, start).isFull);
+    CHECK_FALSE(fixture.mirror.changesSince(20, start).isFull);
+}
+
+TEST_CASE("a mirror that took changes of an earlier release, which may lack "
+          "removals, gives full copies of them")
+{
+    Fixture fixture;
+    fixture.completeListing(start);
+    store::Delta changes { 10, 13, { { "c", "1", 13 } }, {}, false };
+    changes.hasAllRemovals = false;
+    CHECK(fixture.mirror.merge(changes, start));
+    CHECK(fixture.mirror.changesSince(12, start).isFull);
+    CHECK_FALSE(fixture.mirror.changesSince(13, start).isFull);
+}
