Give an attempt up only if somebody else can go on with it

Cause: timeouts, answers with a 5xx status and probes gave an attempt up without asking whether another runner could take it; a probe without an answer ended all requests of its runner, though the established connections were alive. Ruled out: the SIGHUP, without which they are cut too. Evidence: attempt-left and "no runner is left" in the same millisecond; silent-runner-probed dead=true.

Change: RelayPlan takes the alternative as an input; Session::tryAbandonAttempt is the one place for streams, whole requests and those passed on. Without an alternative the attempt stays and is looked at again every 250 ms. A probe without an answer ends nothing that cannot move.

--- a/src/dispatch/RelayPlan.cpp
+++ b/src/dispatch/RelayPlan.cpp
@@ -52,10 +52,12 @@
     return hasAnswerBegun ? RelayStep::SendRest : RelayStep::SendAgain;
 }
 
-bool RelayPlan::tryAbandonAttempt(bool hasAnswerBegun, TimePoint now, const Budget& budget)
+bool RelayPlan::tryAbandonAttempt(
+    bool hasAnswerBegun, const std::function<bool()>& hasAlternative, TimePoint now, const Budget& budget)
 {
     const bool isAllowed = m_options.isRepeatable && (!hasAnswerBegun || m_options.isResumable);
-    if (!isAllowed || now >= m_options.deadline || m_possibleRuns + 1 >= m_options.maxAttempts || !budget())
+    if (!isAllowed || now >= m_options.deadline || m_possibleRuns + 1 >= m_options.maxAttempts || !hasAlternative()
+        || !budget())
         return false;
     ++m_possibleRuns;
     return true;
--- a/src/dispatch/RelayPlan.h
+++ b/src/dispatch/RelayPlan.h
@@ -59,7 +59,9 @@
     /// @brief Decides whether the current attempt, which an upstream may be running or has run, may be abandoned for
     /// another upstream; if so, counts it as run.
     /// @param hasAnswerBegun whether part of the answer has been sent to the caller
-    bool tryAbandonAttempt(bool hasAnswerBegun, TimePoint now, const Budget& budget);
+    /// @param hasAlternative whether another upstream can go on; without one the request would be lost
+    bool tryAbandonAttempt(
+        bool hasAnswerBegun, const std::function<bool()>& hasAlternative, TimePoint now, const Budget& budget);
 
 private:
     Options m_options;
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -349,7 +349,8 @@
             if (!isDead)
                 return;
             m_registry.recordObservation(*runner, runners::Observation::CannotConnect, m_clock());
-            failAttemptsAt(id);
+            for (const auto& session : requestsAt(id))
+                session->onRunnerUnreachable(result == ProbeResult::Refused);
         });
     }
 }
@@ -360,12 +361,6 @@
     return result == ProbeResult::Refused || (result == ProbeResult::NoAnswer && m_registry.lastReceivedAt() > begunAt);
 }
 
-void Router::failAttemptsAt(const std::string& runner)
-{
-    for (const auto& session : requestsAt(runner))
-        session->onRunnerUnreachable();
-}
-
 std::vector<std::shared_ptr<Session>> Router::requestsAt(std::string_view runner) const
 {
     std::vector<std::shared_ptr<Session>> result;
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -167,8 +167,6 @@
     std::vector<std::shared_ptr<Session>> requestsAt(std::string_view runner) const;
     /// Whether a probe that began at @a begunAt shows that its runner cannot be reached.
     bool isUnreachable(ProbeResult result, TimePoint begunAt) const;
-    /// Fails the attempts that wait for an unreachable runner.
-    void failAttemptsAt(const std::string& runner);
 
     /// What the sessions leave behind when they end. They share it, since handlers that the event loop has not called
     /// yet keep sessions beyond the life of their router.
--- a/src/proxy/Session.cpp
+++ b/src/proxy/Session.cpp
@@ -324,11 +324,8 @@
         fail(AttemptFailure::Broken, Observation::Failed, "the response is not the runner's own");
         return;
     }
-    if (status >= status::serverError && m_plan.tryAbandonAttempt(m_hasResponseStarted, now, retryBudget(now))) {
-        endAttempt(Observation::Failed, now);
-        execute(m_hasResponseStarted ? RelayStep::SendRest : RelayStep::SendAgain, "the runner failed it");
+    if (status >= status::serverError && tryAbandonAttempt(Observation::Failed, "the runner failed it", now))
         return;
-    }
     if (m_hasResponseStarted) {
         fail(AttemptFailure::Broken, Observation::Failed, "the stream was not resumed");
         return;
@@ -448,14 +445,6 @@
     fail(AttemptFailure::NeverConnected, Observation::None, detail);
 }
 
-void Session::onRunnerUnreachable()
-{
-    if (m_isFinished || !m_attempt)
-        return;
-    upstream::ConnectionPool::cancel(m_attempt->handle);
-    fail(AttemptFailure::Broken, Observation::None, "the runner cannot be reached");
-}
-
 void Session::onCallerDisconnected()
 {
     if (m_isFinished)
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -38,8 +38,9 @@
     bool isWaitingFor(std::string_view runner) const { return m_attempt && m_attempt->runner == runner; }
     /// @brief Sends the request to another runner if nothing of it has been written to its current one.
     void recall(std::string_view detail);
-    /// @brief Fails the current attempt because its runner cannot be reached any more.
-    void onRunnerUnreachable();
+    /// @brief Reacts to a probe that found no way to the runner of the current attempt.
+    /// @param isRefused the runner refused the connection: its process has ended
+    void onRunnerUnreachable(bool isRefused);
 
 private:
     /// The request at one runner.
@@ -71,6 +72,8 @@
         bool isStreaming = false;
         /// The silence of the runner was already reported to the registry.
         bool isSilenceReported = false;
+        /// Time from which it is looked again whether another runner can go on; there was none.
+        TimePoint nextAlternativeAt {};
         /// Body received so far, if the response is not relayed as a stream; counted in bufferedBytes.
         std::string body;
         /// Bytes that the bodies of all attempts hold.
@@ -108,6 +111,8 @@
     /// Passes the request on to another daemon, which handles it like one of a caller.
     /// @return whether one was chosen
     bool tryPassOn();
+    /// Whether the request may be passed on to another daemon.
+    bool mayPassOn() const;
     /// Begins an attempt at a runner, or at another daemon by its address.
     void beginAttempt(const std::string& target, TimePoint now);
     /// Starts an exchange as the current attempt.
@@ -147,11 +152,16 @@
     void execute(dispatch::RelayStep step, std::string_view detail);
     void armTimer();
     void onTimer();
+    /// Whether another runner, or another daemon, can go on with the request now.
+    bool hasAlternative(TimePoint now);
+    /// Gives up the current attempt, and sends the request elsewhere, if that is allowed and somebody else can go on.
+    /// @param observation what it says of the runner
+    bool tryAbandonAttempt(runners::Observation observation, std::string_view detail, TimePoint now);
     /// Whether the current attempt has timed out with enough time left for another one.
     bool shouldTryElsewhere(TimePoint now) const;
     /// Reports the silence of the current runner to the registry, which may suspend it.
     void reportSilence(TimePoint now);
-    /// Time at which the current attempt times out; nothing once its silence was reported.
+    /// Time at which the current attempt times out, or at which another runner is looked for again.
     std::optional<TimePoint> attemptTimeoutAt() const;
     void onCallerDisconnected();
     /// Answers that the request was not run and never will be, so that the caller may repeat it.
--- a/src/proxy/SessionPassOn.cpp
+++ b/src/proxy/SessionPassOn.cpp
@@ -9,10 +9,15 @@
 
 }
 
-bool Session::tryPassOn()
+bool Session::mayPassOn() const
 {
     // A daemon that gets a request from another one does not pass it on again.
-    if (m_hasResponseStarted || m_daemonsTried >= maxDaemonsTried || m_router.isDaemon(m_admitted.request.remoteIp))
+    return !m_hasResponseStarted && m_daemonsTried < maxDaemonsTried && !m_router.isDaemon(m_admitted.request.remoteIp);
+}
+
+bool Session::tryPassOn()
+{
+    if (!mayPassOn())
         return false;
     const auto now = m_router.now();
     const auto ip = m_router.chooseDaemon(m_excludedRunners, now);
--- a/src/proxy/SessionTimeouts.cpp
+++ b/src/proxy/SessionTimeouts.cpp
@@ -12,18 +12,23 @@
 
     /// Time that must remain before the deadline for the current attempt to be given up in favour of another one.
     constexpr Duration minTimeForAttempt = std::chrono::milliseconds(100);
+    /// Time between two looks for another runner while the current one is silent.
+    constexpr Duration alternativeInterval = std::chrono::milliseconds(250);
 
 }
 
 std::optional<TimePoint> Session::attemptTimeoutAt() const
 {
-    if (!m_attempt || m_attempt->isSilenceReported)
+    if (!m_attempt)
         return std::nullopt;
+    const auto& options = m_router.m_options;
     if (m_hasResponseStarted)
-        return m_attempt->lastProgressAt + streamIdleTimeout(*m_admitted.route, m_router.m_options);
-    const auto timeout = toSeconds(m_admitted.route->latencyObjective) * m_router.m_options.attemptTimeoutFactor;
+        return std::max(
+            m_attempt->lastProgressAt + streamIdleTimeout(*m_admitted.route, options), m_attempt->nextAlternativeAt);
+    const auto timeout = toSeconds(m_admitted.route->latencyObjective) * options.attemptTimeoutFactor;
     const auto total = toSeconds(m_admitted.deadline - m_admitted.arrivedAt);
-    return m_attempt->sentAt + fromSeconds(std::min(timeout, total * m_router.m_options.attemptTimeoutShare));
+    const auto timeoutAt = m_attempt->sentAt + fromSeconds(std::min(timeout, total * options.attemptTimeoutShare));
+    return std::max(timeoutAt, m_attempt->nextAlternativeAt);
 }
 
 void Session::armTimer()
@@ -77,24 +82,20 @@
             armTimer();
         return;
     }
-    if (shouldTryElsewhere(now) && m_plan.tryAbandonAttempt(m_hasResponseStarted, now, retryBudget(now))) {
-        const auto runner = m_attempt->runner;
-        upstream::ConnectionPool::cancel(m_attempt->handle);
-        endAttempt(Observation::Silent, now);
-        telemetry::logInfo("attempt-left",
-            { { "request", m_admitted.metadata.attemptId }, { "runner", runner }, { "last_event", m_lastEvent } });
-        execute(m_hasResponseStarted ? RelayStep::SendRest : RelayStep::SendAgain, "the runner is silent");
-        return;
-    }
-    if (shouldTryElsewhere(now))
+    if (shouldTryElsewhere(now)) {
+        if (tryAbandonAttempt(Observation::Silent, "the runner is silent", now))
+            return;
+        m_attempt->nextAlternativeAt = now + alternativeInterval;
         reportSilence(now);
+    }
     armTimer();
 }
 
 void Session::reportSilence(TimePoint now)
 {
-    // This request keeps waiting because it may not run elsewhere, but new requests should avoid the silent runner.
-    m_attempt->isSilenceReported = true;
+    // This request keeps waiting because it cannot run elsewhere, but new requests should avoid the silent runner.
+    if (std::exchange(m_attempt->isSilenceReported, true))
+        return;
     auto* runner = m_router.m_registry.find(m_attempt->runner);
     if (!runner)
         return;
--- a/src/runners/Placement.cpp
+++ b/src/runners/Placement.cpp
@@ -82,6 +82,12 @@
     return registry.isUsable(runner, now) && !isExcluded(registry, runner, request, now);
 }
 
+bool hasCandidate(const Registry& registry, const PlacementRequest& request, TimePoint now)
+{
+    return std::ranges::any_of(registry.runnersOf(request.service),
+        [&](const auto* runner) { return canTake(registry, *runner, request, now); });
+}
+
 void findPrefixSource(const Registry& registry, const PlacementRequest& request, TimePoint now, Placement& result)
 {
     BestCandidate first;
--- a/src/runners/Placement.h
+++ b/src/runners/Placement.h
@@ -95,6 +95,9 @@
 /// @brief Whether a runner can take a request now.
 bool canTake(const Registry& registry, const Runner& runner, const PlacementRequest& request, TimePoint now);
 
+/// @brief Whether any runner of the service can take a request now.
+bool hasCandidate(const Registry& registry, const PlacementRequest& request, TimePoint now);
+
 /// @brief Finds the runner that probably has the shared prefix cached: the first in its order that is neither the
 /// chosen one nor recently added. Runners that are listed as leaving count, as they still serve for a while and keep
 /// their cache, but not those that state themselves that they leave, or ask for a pause.
--- a/tests/dispatch/RelayPlanTest.cpp
+++ b/tests/dispatch/RelayPlanTest.cpp
@@ -23,6 +23,7 @@
 
 const RelayPlan::Budget fullBudget = [] { return true; };
 const RelayPlan::Budget emptyBudget = [] { return false; };
+const auto hasAlternative = [] { return true; };
 
 }
 
@@ -32,7 +33,7 @@
     plan.beginAttempt();
     CHECK(plan.fail(AttemptFailure::Broken, false, start, fullBudget) == RelayStep::FailUnknown);
     CHECK(plan.mayHaveRun());
-    CHECK_FALSE(plan.tryAbandonAttempt(false, start, fullBudget));
+    CHECK_FALSE(plan.tryAbandonAttempt(false, hasAlternative, start, fullBudget));
 }
 
 TEST_CASE("a request that no upstream ran is sent to another one, and is refused as not run after the last attempt")
@@ -62,7 +63,7 @@
     plan.beginAttempt();
     CHECK(plan.fail(AttemptFailure::Broken, false, start, fullBudget) == RelayStep::SendAgain);
     plan.beginAttempt();
-    CHECK_FALSE(plan.tryAbandonAttempt(false, start, fullBudget));
+    CHECK_FALSE(plan.tryAbandonAttempt(false, hasAlternative, start, fullBudget));
     CHECK(plan.fail(AttemptFailure::Broken, false, start, fullBudget) == RelayStep::FailUnknown);
 }
 
@@ -82,5 +83,19 @@
     plan.beginAttempt();
     const auto late = plan.deadline();
     CHECK(plan.fail(AttemptFailure::NeverConnected, false, late, fullBudget) == RelayStep::RefuseNotRun);
-    CHECK_FALSE(plan.tryAbandonAttempt(false, late, fullBudget));
+    CHECK_FALSE(plan.tryAbandonAttempt(false, hasAlternative, late, fullBudget));
+}
+
+// Guards against attempts that are given up though nobody else can go on.
+TEST_CASE("an attempt is not abandoned without another upstream, and then takes nothing from the budget")
+{
+    auto plan = makePlan(true, true, 3);
+    plan.beginAttempt();
+    bool isCharged = false;
+    const auto budget = [&] { return isCharged = true; };
+    for (const bool hasAnswerBegun : { false, true })
+        CHECK_FALSE(plan.tryAbandonAttempt(
+            hasAnswerBegun, [] { return false; }, start, budget));
+    CHECK_FALSE(isCharged);
+    CHECK(plan.tryAbandonAttempt(true, hasAlternative, start, budget));
 }
--- a/tests/support/Loopback.h
+++ b/tests/support/Loopback.h
@@ -102,6 +102,16 @@
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     void stop() { m_acceptor.close(); }
+    /// Accepts nothing more, and fills the queue of new connections, so that further ones get no answer.
+    void fillQueue()
+    {
+        m_acceptor.cancel();
+        m_acceptor.listen(0);
+        for (int i = 0; i < 4; ++i) {
+            auto& socket = m_queued.emplace_back(m_acceptor.get_executor());
+            socket.async_connect(m_acceptor.local_endpoint(), [](const asio::error_code&) {});
+        }
+    }
 
     std::vector<std::shared_ptr<Peer>> peers;
 
@@ -118,6 +128,7 @@
     }
 
     asio::ip::tcp::acceptor m_acceptor;
+    std::vector<asio::ip::tcp::socket> m_queued;
 };
 
 /// A loopback port on which nothing listens at the time of the call.
