Take answers outside the grammar of HTTP for none

Callers got an answer with the status 000 that a runner in trouble had sent (report of other operators, MIXED).

Cause: the parser library takes any number up to 999 for a status, and other versions, leading zeros and blanks; its build without strict mode also lets control characters in values pass.

Change: MessageParser refuses such heads where all answers of runners and other daemons are read; CurlClient ends calls with a status outside 200 to 599 as broken. The attempt counts as one that may have run.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -15,6 +15,27 @@
     constexpr int skipBody = 1;
     /// Result of on_headers_complete that ends parsing with an error.
     constexpr int refuseMessage = -1;
+    /// Length of a status line up to the byte after the status.
+    constexpr std::size_t statusLineStart = 13;
+
+    bool isDigit(char c) { return c >= '0' && c <= '9'; }
+
+    /// Whether a text has no control characters but tabs, as field values have none (RFC 9110, 5.5).
+    bool isFieldValue(std::string_view text)
+    {
+        constexpr char firstPrintable = ' ';
+        constexpr char deleteCharacter = 0x7f;
+        return std::none_of(text.begin(), text.end(),
+            [](char c) { return (c >= 0 && c < firstPrintable && c != '\t') || c == deleteCharacter; });
+    }
+
+    /// Whether a status line begins as RFC 9112 (4) and RFC 9110 (15) say: version 1, a status from 100 to 599.
+    bool isStatusLine(std::string_view line)
+    {
+        return line.size() == statusLineStart && line.starts_with("HTTP/1.") && isDigit(line[7]) && line[8] == ' '
+            && line[9] >= '1' && line[9] <= '5' && isDigit(line[10]) && isDigit(line[11])
+            && (line[12] == ' ' || line[12] == '\r' || line[12] == '\n');
+    }
 
     /// Whether a text is a token (RFC 9110, 5.6.2). The parser lets spaces in names pass.
     bool isToken(std::string_view text)
@@ -52,12 +73,18 @@
     {
         if (bytes.empty())
             return std::size_t { 0 };
+        if (!m_isRequest)
+            keepStatusLine(bytes);
         const auto used = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
         if (m_isTooLarge)
             return tl::unexpected(ParseError { "start line and headers are too large", true });
+        if (m_isStatusMalformed)
+            return tl::unexpected(ParseError { "the status line is malformed", false });
         if (m_isNameMalformed)
             return tl::unexpected(ParseError { "a header's name is no token", false });
+        if (m_isValueMalformed)
+            return tl::unexpected(ParseError { "a header's value holds a control character", false });
         if (m_parser.upgrade)
             return tl::unexpected(ParseError { "a change of protocol is not supported", false });
         if (error == HPE_PAUSED) {
@@ -120,6 +147,17 @@
         return settings;
     }
 
+    /// Keeps the beginning of the status line, of which the parser tells only the number.
+    void keepStatusLine(std::string_view bytes)
+    {
+        for (const char byte : bytes) {
+            if (m_statusLine.size() == statusLineStart)
+                return;
+            if (!m_statusLine.empty() || (byte != '\r' && byte != '\n'))
+                m_statusLine += byte;
+        }
+    }
+
     int messageBegin()
     {
         m_head = {};
@@ -160,11 +198,21 @@
 
     int headersComplete()
     {
+        if (!m_isRequest && !isStatusLine(m_statusLine)) {
+            m_isStatusMalformed = true;
+            return refuseMessage;
+        }
         if (!std::all_of(m_head.headers.begin(), m_head.headers.end(),
                 [](const auto& header) { return isToken(header.first); })) {
             m_isNameMalformed = true;
             return refuseMessage;
         }
+        if (!m_isRequest && !std::all_of(m_head.headers.begin(), m_head.headers.end(), [](const auto& header) {
+                return isFieldValue(header.second);
+            })) {
+            m_isValueMalformed = true;
+            return refuseMessage;
+        }
         // Another protocol that a request offers is declined, which needs no answer (RFC 9110, 7.8).
         if (m_isRequest && m_parser.method != HTTP_CONNECT)
             m_parser.upgrade = 0;
@@ -189,6 +237,7 @@
     int messageComplete()
     {
         m_isInMessage = false;
+        m_statusLine.clear();
         http_parser_pause(&m_parser, 1);
         m_events.messageComplete();
         return 0;
@@ -206,6 +255,10 @@
     bool m_isInHeaderValue = false;
     bool m_isTooLarge = false;
     bool m_isNameMalformed = false;
+    bool m_isValueMalformed = false;
+    bool m_isStatusMalformed = false;
+    /// Beginning of a response, up to the byte after the status.
+    std::string m_statusLine;
 };
 
 MessageParser::MessageParser(Kind kind, Events events)
--- a/src/upstream/CurlClient.cpp
+++ b/src/upstream/CurlClient.cpp
@@ -71,9 +71,22 @@
         return size * count;
     }
 
+    /// Whether a final response has a status of HTTP. libcurl takes any number.
+    bool hasFinalStatus(CURL* easy)
+    {
+        constexpr long firstFinal = 200;
+        constexpr long last = 599;
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        return status >= firstFinal && status <= last;
+    }
+
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto& transfer = *static_cast<Transfer*>(context);
+        constexpr std::size_t abortTransfer = 0;
+        if (!hasFinalStatus(transfer.easy))
+            return abortTransfer;
         transfer.notifyResponded();
         if (transfer.events.received)
             transfer.events.received({ data, size * count });
@@ -292,6 +305,8 @@
         auto transfer = std::move(found->second);
         m_transfers.erase(found);
         curl_multi_remove_handle(m_multi, transfer->easy);
+        if (code == CURLE_OK && !hasFinalStatus(transfer->easy))
+            code = CURLE_WEIRD_SERVER_REPLY;
         if (code == CURLE_OK)
             transfer->notifyResponded();
         if (transfer->events.ended)
