--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -1,9 +1,8 @@
 #include "proxy/Router.h"
 
-#include "proxy/Status.h"
-
 #include "common/Hash.h"
 #include "proxy/Session.h"
+#include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
 
 namespace eelgrassford::proxy {
