--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -234,9 +235,8 @@
         : record(folder + "/record.txt")
     {
         std::signal(SIGPIPE, SIG_IGN);
-        std::array<char, 32> name {};
-        std::strcpy(name.data(), "/tmp/review-3-XXXXXX");
-        m_work = mkdtemp(name.data());
+        m_work = (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
+        mkdtemp(m_work.data());
         for (m_net = 70 + static_cast<int>(getpid() % 100); !isFree(store(), storePort); ++m_net) { }
     }
     ~Installation()
