--- a/review/harness-3/Restored.cpp
+++ b/review/harness-3/Restored.cpp
@@ -9,7 +9,7 @@
 
 constexpr double revokeMs = 5000;
 /// Time after which the operator has written again what the store has lost.
-constexpr double rewriteMs = 2000;
+constexpr double rewriteMs = 1000;
 
 }
 
