--- a/src/dispatch/StreamOrigins.cpp
+++ b/src/dispatch/StreamOrigins.cpp
@@ -38,6 +38,13 @@
     return result;
 }
 
+std::vector<StreamOrigin> StreamOrigins::of(std::uint64_t software, TimePoint now) const
+{
+    auto result = all(now);
+    std::erase_if(result, [&](const StreamOrigin& origin) { return origin.software != software; });
+    return result;
+}
+
 void StreamOrigins::dropExpired(TimePoint now)
 {
     while (!m_order.empty()
--- a/src/dispatch/StreamOrigins.h
+++ b/src/dispatch/StreamOrigins.h
@@ -62,6 +62,8 @@
     std::optional<std::uint64_t> find(StreamKey stream, TimePoint now) const;
     /// @brief All origins that are remembered.
     std::vector<StreamOrigin> all(TimePoint now) const;
+    /// @brief The origins that are remembered of streams that a software began.
+    std::vector<StreamOrigin> of(std::uint64_t software, TimePoint now) const;
     std::size_t size() const { return m_origins.size(); }
 
 private:
--- a/src/proxy/CacheQueries.cpp
+++ b/src/proxy/CacheQueries.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
+#include <algorithm>
 
 namespace eelgrassford::proxy {
 
@@ -12,6 +13,14 @@
     /// Time between two looks at the runners that have not answered.
     constexpr Duration checkInterval = std::chrono::milliseconds(100);
 
+    std::string joined(const CacheQueries::Services& services)
+    {
+        std::string result;
+        for (const auto& service : services)
+            result.append(result.empty() ? "" : ",").append(service);
+        return result;
+    }
+
 }
 
 CacheQueries::CacheQueries(asio::io_context& context, const Codec& codec, runners::Registry& registry,
@@ -27,14 +36,14 @@
 
 CacheQueries::~CacheQueries() { *m_isAlive = false; }
 
-void CacheQueries::find(const std::string& name, const PromptPart& lastPart, CacheSurvey::Finder finder)
+void CacheQueries::find(const Services& services, const PromptPart& lastPart, CacheSurvey::Finder finder)
 {
     const auto now = m_clock();
-    auto& service = m_services[name];
-    if (!service.survey.isWaiting())
-        service.begunAt = now;
-    service.survey.ask(lastPart, std::move(finder), now);
-    advance(name);
+    auto& scope = m_scopes[services];
+    if (!scope.survey.isWaiting())
+        scope.begunAt = now;
+    scope.survey.ask(lastPart, std::move(finder), now);
+    advance(services);
 }
 
 void CacheQueries::onRunnerRemoved(const runners::Runner& runner)
@@ -42,99 +51,105 @@
     m_departed.push_back({ runner.entry.service, runner.identity, runner.software, m_clock() });
 }
 
-void CacheQueries::onRunnersChanged()
+void CacheQueries::onRunnersChanged() { checkAll(); }
+
+void CacheQueries::checkAll()
 {
-    for (const auto& [name, service] : m_services) {
-        if (!service.survey.isIdle())
-            advance(name);
+    for (const auto& [services, scope] : m_scopes) {
+        if (!scope.survey.isIdle())
+            advance(services);
     }
 }
 
-void CacheQueries::updateCandidates(const std::string& name, CacheSurvey& survey, TimePoint now)
+void CacheQueries::updateCandidates(const Services& services, CacheSurvey& survey, TimePoint now)
 {
     std::vector<CacheSurvey::Candidate> candidates;
     std::set<std::pair<std::uint64_t, std::uint64_t>> listed;
-    for (const auto* runner : m_registry.runnersOf(name)) {
-        if (runner->evacuatedSince && now - *runner->evacuatedSince > m_versions.window())
-            continue;
-        listed.emplace(runner->identity, runner->software);
-        // Nothing is sent to runners out of service, nor beyond their rate to cold ones.
-        const bool isAskable = !runner->evacuatedSince && !runner->isCold(now);
-        candidates.push_back({ runner->entry.id, runner->identity, runner->software,
-            m_registry.isSoftwareCertain(*runner, now), isAskable });
+    for (const auto& service : services) {
+        for (const auto* runner : m_registry.runnersOf(service)) {
+            if (runner->evacuatedSince && now - *runner->evacuatedSince > m_versions.window())
+                continue;
+            listed.emplace(runner->identity, runner->software);
+            // Nothing is sent to runners out of service, nor beyond their rate to cold ones.
+            const bool isAskable = !runner->evacuatedSince && !runner->isCold(now);
+            candidates.push_back({ runner->entry.id, runner->identity, runner->software,
+                m_registry.isSoftwareCertain(*runner, now), isAskable });
+        }
     }
     while (!m_departed.empty() && now - m_departed.front().leftAt > m_versions.window())
         m_departed.pop_front();
     std::set<std::uint64_t> departed;
     for (const auto& runner : m_departed) {
         // One whose entry lapsed while the platform's store was away is listed again in the same lifetime.
-        if (runner.service == name && !listed.contains({ runner.identity, runner.software }))
+        if (std::ranges::find(services, runner.service) != services.end()
+            && !listed.contains({ runner.identity, runner.software }))
             departed.insert(runner.software);
     }
     survey.setCandidates(std::move(candidates), std::move(departed));
 }
 
-void CacheQueries::advance(const std::string& name)
+void CacheQueries::advance(const Services& services)
 {
     const auto now = m_clock();
-    auto& service = m_services[name];
-    updateCandidates(name, service.survey, now);
-    for (const auto& runner : service.survey.takeDue(now))
-        query(name, runner);
-    service.concluded += service.survey.conclude(now);
-    if (!service.survey.isWaiting())
-        finish(name, service, now);
-    if (!service.survey.isIdle())
+    auto& scope = m_scopes[services];
+    updateCandidates(services, scope.survey, now);
+    for (const auto& runner : scope.survey.takeDue(now))
+        query(services, runner);
+    scope.concluded += scope.survey.conclude(now);
+    if (!scope.survey.isWaiting())
+        finish(services, scope, now);
+    if (!scope.survey.isIdle())
         armTimer();
 }
 
-void CacheQueries::query(const std::string& name, const std::string& id)
+void CacheQueries::query(const Services& services, const std::string& id)
 {
-    auto& service = m_services[name];
+    auto& scope = m_scopes[services];
     const auto* runner = m_registry.find(id);
     const auto body = std::make_shared<std::string>();
     upstream::Exchange exchange;
     exchange.bytes = m_codec.encodeCacheQuery();
     exchange.isAnswer = [](const http::MessageHead& head) { return head.status == status::ok; };
-    ++service.asked;
+    ++scope.asked;
     // An earlier query stays in flight: a runner that was silent answers it when it goes on.
-    service.queries.push_back(m_pools(*runner).start(std::move(exchange),
+    scope.queries.push_back(m_pools(*runner).start(std::move(exchange),
         { [](http::MessageHead&) {},
             [body](std::string_view bytes) {
                 // One byte more than the limit tells a list that was cut.
                 body->append(bytes.substr(0, cacheListLimit + 1 - body->size()));
             },
-            [this, isAlive = m_isAlive, body, name, id, identity = runner->identity](
+            [this, isAlive = m_isAlive, body, services, id, identity = runner->identity](
                 const upstream::ExchangeResult& result) {
                 if (*isAlive && result.end == upstream::ExchangeEnd::Complete)
-                    onAnswer(name, id, identity, *body);
+                    onAnswer(services, id, identity, *body);
             } }));
 }
 
 void CacheQueries::onAnswer(
-    const std::string& name, const std::string& runner, std::uint64_t identity, const std::string& body)
+    const Services& services, const std::string& runner, std::uint64_t identity, const std::string& body)
 {
     const auto parts = body.size() > cacheListLimit ? std::nullopt : m_codec.decodeCachedParts(body);
     if (!parts) {
         telemetry::logWarning("cache-list-unreadable",
-            { { "service", name }, { "runner", runner }, { "bytes", static_cast<std::uint64_t>(body.size()) } });
+            { { "service", joined(services) }, { "runner", runner },
+                { "bytes", static_cast<std::uint64_t>(body.size()) } });
         return;
     }
-    m_services[name].survey.record(runner, identity, *parts, m_clock());
-    advance(name);
+    m_scopes[services].survey.record(runner, identity, *parts, m_clock());
+    advance(services);
 }
 
-void CacheQueries::finish(const std::string& name, Service& service, TimePoint now)
+void CacheQueries::finish(const Services& services, Scope& scope, TimePoint now)
 {
-    if (service.concluded == 0)
+    if (scope.concluded == 0)
         return;
-    for (const auto& handle : std::exchange(service.queries, {}))
+    for (const auto& handle : std::exchange(scope.queries, {}))
         upstream::ConnectionPool::cancel(handle);
     telemetry::logInfo("caches-surveyed",
-        { { "service", name }, { "ms", toMilliseconds(now - service.begunAt) },
-            { "asked", static_cast<std::uint64_t>(std::exchange(service.asked, 0)) },
-            { "unanswered", static_cast<std::uint64_t>(service.survey.unanswered(now)) },
-            { "streams", static_cast<std::uint64_t>(std::exchange(service.concluded, 0)) } });
+        { { "service", joined(services) }, { "ms", toMilliseconds(now - scope.begunAt) },
+            { "asked", static_cast<std::uint64_t>(std::exchange(scope.asked, 0)) },
+            { "unanswered", static_cast<std::uint64_t>(scope.survey.unanswered(now)) },
+            { "streams", static_cast<std::uint64_t>(std::exchange(scope.concluded, 0)) } });
 }
 
 void CacheQueries::armTimer()
@@ -146,7 +161,7 @@
         if (!*isAlive || error)
             return;
         m_isTimerArmed = false;
-        onRunnersChanged();
+        checkAll();
     });
 }
 
--- a/src/proxy/CacheQueries.h
+++ b/src/proxy/CacheQueries.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace eelgrassford::proxy {
 
@@ -27,9 +28,12 @@
     CacheQueries(const CacheQueries&) = delete;
     CacheQueries& operator=(const CacheQueries&) = delete;
 
-    /// @brief Finds the software of a service that read the last part of a prompt.
+    /// Names of services.
+    using Services = std::vector<std::string>;
+
+    /// @brief Finds the software that read the last part of a prompt, among those of some services.
     /// @param finder called later, or at once, with the software; without it if that cannot be told in time
-    void find(const std::string& service, const PromptPart& lastPart, CacheSurvey::Finder finder);
+    void find(const Services& services, const PromptPart& lastPart, CacheSurvey::Finder finder);
     /// @brief Records that a runner leaves the listing, or is replaced by another lifetime of it. It may have begun
     /// streams, and cannot be asked any more.
     void onRunnerRemoved(const runners::Runner& runner);
@@ -37,8 +41,8 @@
     void onRunnersChanged();
 
 private:
-    /// The survey of a service and the queries that were sent for it.
-    struct Service {
+    /// The survey of some services and the queries that were sent for it.
+    struct Scope {
         CacheSurvey survey;
         std::vector<upstream::ConnectionPool::Handle> queries;
         TimePoint begunAt {};
@@ -54,11 +58,12 @@
         TimePoint leftAt {};
     };
 
-    void advance(const std::string& name);
-    void updateCandidates(const std::string& name, CacheSurvey& survey, TimePoint now);
-    void query(const std::string& name, const std::string& runner);
-    void onAnswer(const std::string& name, const std::string& runner, std::uint64_t identity, const std::string& body);
-    void finish(const std::string& name, Service& service, TimePoint now);
+    void advance(const Services& services);
+    void updateCandidates(const Services& services, CacheSurvey& survey, TimePoint now);
+    void query(const Services& services, const std::string& runner);
+    void onAnswer(const Services& services, const std::string& runner, std::uint64_t identity, const std::string& body);
+    void finish(const Services& services, Scope& scope, TimePoint now);
+    void checkAll();
     void armTimer();
 
     const Codec& m_codec;
@@ -66,7 +71,7 @@
     const runners::VersionHistory& m_versions;
     Pools m_pools;
     Clock m_clock;
-    std::map<std::string, Service> m_services;
+    std::map<Services, Scope> m_scopes;
     /// In the order in which they left.
     std::deque<Departed> m_departed;
     asio::steady_timer m_timer;
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -68,6 +68,7 @@
     , m_placement(m_registry, options.placement)
     , m_promptIndex(options.promptIndexCapacity)
     , m_versionHistory(options.versionHistory)
+    , m_originPolicy(m_versionHistory)
     , m_streamOrigins(options.streamOrigins)
     , m_cacheQueries(
           context, codec, m_registry,
@@ -283,11 +284,8 @@
 
 void Router::setRunners(std::span<const runners::RunnerEntry> entries)
 {
-    const auto soleBefore = m_versionHistory.soleVersions(m_clock());
     m_versionHistory.recordListing(entries, m_clock());
-    // Streams that began while one version served were not told to anyone.
-    if (m_versionHistory.soleVersions(m_clock()).size() < soleBefore.size())
-        publishOrigins(dispatch::OriginCopies::Many, m_clock());
+    spreadOrigins(m_clock());
     m_registry.apply(entries, m_clock(), [this](const std::string& id) {
         const auto* removed = m_registry.find(id);
         m_cacheQueries.onRunnerRemoved(*removed);
@@ -315,6 +313,7 @@
 void Router::sweep(TimePoint now)
 {
     m_crashes.tick(now);
+    spreadOrigins(now);
     m_overload.sweep(now);
     m_placement.sweep(now);
     logPath(now);
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -8,6 +8,7 @@
 #include "proxy/CacheQueries.h"
 #include "proxy/Codec.h"
 #include "proxy/OriginDirectory.h"
+#include "proxy/OriginPolicy.h"
 #include "proxy/OverloadControl.h"
 #include "proxy/PlacementControl.h"
 #include "proxy/PromptIndex.h"
@@ -197,12 +198,13 @@
     /// Refuses a request that its service cannot serve in time.
     std::optional<Refusal> refuseIfOverloaded(const RequestMetadata& metadata, const Admission& admission,
         const std::string& service, dispatch::RequestDigest digest, TimePoint now);
-    /// Records which software sends a stream, and tells the other daemons while several versions may serve.
-    void recordOrigins(std::span<const dispatch::StreamOrigin> origins, std::string_view service, TimePoint now);
+    /// Records which software sends a stream, and tells the other daemons if it may be continued.
+    void recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route,
+        std::string_view service, TimePoint now);
     /// Gives the origins of all streams to the other daemons.
-    void publishOrigins(dispatch::OriginCopies copies, TimePoint now);
-    /// The software that began every stream of a route; empty if there may be several.
-    std::optional<std::uint64_t> soleSoftware(const routing::Route& route, TimePoint now) const;
+    void publishOrigins(TimePoint now);
+    /// Gives the origins of streams to more daemons, once the versions that serve do not tell them any more.
+    void spreadOrigins(TimePoint now);
     /// The service of a route in which a runner runs the software; empty if there is none.
     std::string destinationOf(const routing::Route& route, std::uint64_t software) const;
     /// Whether this daemon is cut off from all runners, as of the last sweep.
@@ -252,6 +254,7 @@
     PromptIndex m_promptIndex;
     dispatch::CrashRegistry m_crashes;
     runners::VersionHistory m_versionHistory;
+    OriginPolicy m_originPolicy;
     /// Streams that this daemon relayed, with the software that began them.
     dispatch::StreamOrigins m_streamOrigins;
     OriginDirectory* m_directory = nullptr;
--- a/src/proxy/RouterCold.cpp
+++ b/src/proxy/RouterCold.cpp
@@ -43,6 +43,8 @@
         }
     }
     m_registry.setColdStarts(std::move(coldStarts));
+    if (m_routes && routes)
+        m_originPolicy.recordRoutes(*m_routes, *routes, m_clock());
     m_routes = std::move(routes);
 }
 
--- a/src/proxy/RouterStreams.cpp
+++ b/src/proxy/RouterStreams.cpp
@@ -1,4 +1,6 @@
+#include "common/Hash.h"
 #include "proxy/Router.h"
+#include "telemetry/DecisionLog.h"
 
 namespace eelgrassford::proxy {
 
@@ -11,29 +13,33 @@
 void Router::beginStop(TimePoint cutAt)
 {
     m_stop.emplace(now(), cutAt);
-    publishOrigins(dispatch::OriginCopies::Few, now());
+    publishOrigins(now());
 }
 
-void Router::recordOrigins(std::span<const dispatch::StreamOrigin> origins, std::string_view service, TimePoint now)
+void Router::recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route,
+    std::string_view service, TimePoint now)
 {
     for (const auto& origin : origins)
         m_streamOrigins.record(origin, now);
-    if (m_directory && !m_versionHistory.soleVersion(service, now))
-        m_directory->publish({ origins.begin(), origins.end() }, dispatch::OriginCopies::Many);
+    if (m_directory && route.isResumable)
+        m_directory->publish({ origins.begin(), origins.end() }, m_originPolicy.copiesFor(service, now));
 }
 
-void Router::publishOrigins(dispatch::OriginCopies copies, TimePoint now)
+void Router::publishOrigins(TimePoint now)
 {
     if (m_directory)
-        m_directory->publish(m_streamOrigins.all(now), copies);
+        m_directory->publish(m_streamOrigins.all(now), dispatch::OriginCopies::Few);
 }
 
-std::optional<std::uint64_t> Router::soleSoftware(const routing::Route& route, TimePoint now) const
+void Router::spreadOrigins(TimePoint now)
 {
-    // Of several services it is not known which one began a stream.
-    if (route.destinations.size() != 1)
-        return std::nullopt;
-    return m_versionHistory.soleVersion(route.destinations.front().service, now);
+    for (const auto software : m_originPolicy.takeUnderivable(now)) {
+        const auto origins = m_streamOrigins.of(software, now);
+        telemetry::logInfo("origins-spread",
+            { { "software", toHex(software) }, { "streams", static_cast<std::uint64_t>(origins.size()) } });
+        if (m_directory)
+            m_directory->publish(origins, dispatch::OriginCopies::Many);
+    }
 }
 
 std::string Router::destinationOf(const routing::Route& route, std::uint64_t software) const
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -21,9 +21,8 @@
         continueAt(software, "own");
         return;
     }
-    const auto sole = m_router.soleSoftware(*m_admitted.route, now);
-    if (sole || attempt.empty() || !m_router.m_directory) {
-        continueAt(sole, "sole-version");
+    if (attempt.empty() || !m_router.m_directory) {
+        continueUntold();
         return;
     }
     m_router.m_directory->find(streamOf(attempt), [self = shared_from_this()](std::optional<std::uint64_t> software) {
@@ -40,14 +39,16 @@
 
 void Session::continueUntold()
 {
+    const auto& policy = m_router.m_originPolicy;
     const auto& prompt = m_admitted.metadata.prompt;
-    const auto sole = m_router.soleSoftware(*m_admitted.route, m_router.now());
+    const auto now = m_router.now();
+    const auto sole = policy.deriveSoftware(*m_admitted.route, now);
     if (sole || prompt.empty()) {
         continueAt(sole, "sole-version");
         return;
     }
-    m_router.m_cacheQueries.find(
-        m_admitted.service, prompt.back(), [self = shared_from_this()](std::optional<std::uint64_t> software) {
+    m_router.m_cacheQueries.find(policy.servicesOf(*m_admitted.route, now), prompt.back(),
+        [self = shared_from_this()](std::optional<std::uint64_t> software) {
             if (self->m_isFinished)
                 return;
             self->continueAt(software, "cache");
@@ -80,7 +81,7 @@
     std::vector<dispatch::StreamOrigin> origins { { streamOf(m_admitted.metadata.attemptId), *m_software } };
     if (!m_admitted.metadata.continuedAttempt.empty())
         origins.push_back({ streamOf(m_admitted.metadata.continuedAttempt), *m_software });
-    m_router.recordOrigins(origins, m_admitted.service, now);
+    m_router.recordOrigins(origins, *m_admitted.route, m_admitted.service, now);
 }
 
 WorkRequest Session::workRequest() const
--- /dev/null
+++ b/tests/proxy/OriginEvidenceTest.cpp
@@ -0,0 +1,141 @@
+#include "common/Hash.h"
+#include "proxy/VersionsFixture.h"
+
+using namespace eelgrassford;
+using dispatch::OriginCopies;
+using std::chrono::seconds;
+using tests::chunk;
+using tests::event;
+using tests::runUntil;
+using tests::streamHead;
+
+namespace {
+
+/// One version serves, for long enough to derive from it what began every stream.
+struct SettledFixture : tests::FleetFixture {
+    SettledFixture()
+        : FleetFixture("v1")
+    {
+        for (int i = 0; i <= 60; ++i) {
+            clockOffset += seconds(1);
+            router.confirmConfiguration(daemon::currentTime() + clockOffset);
+        }
+        router.sweep(daemon::currentTime() + clockOffset);
+    }
+
+    void beginStream()
+    {
+        call("POST", "/stream/1");
+        awaitRequest(1).send(streamHead("s-1") + chunk(event(1)));
+        awaitAnswer("e1\n\n");
+    }
+};
+
+/// Each of two services has a runner.
+struct SplitFixture : tests::FleetFixture {
+    SplitFixture()
+    {
+        configure({ "pool", "other" });
+        // The runners that the fixture listed before have left for long.
+        clockOffset += seconds(61);
+    }
+
+    void configure(const std::vector<std::string>& services)
+    {
+        routing::Configuration configuration = tests::routeTable()->configuration();
+        for (auto& route : configuration.routes) {
+            route.destinations.clear();
+            for (const auto& service : services)
+                route.destinations.push_back({ service, 1.0 });
+        }
+        router.setRoutes(std::make_shared<const routing::RouteTable>(std::move(configuration)));
+        auto first = runnerEntry("r-1", firstRunner.port());
+        auto second = runnerEntry("r-2", secondRunner.port());
+        second.service = "other";
+        router.setRunners(std::vector { first, second });
+    }
+
+    /// Waits until both runners were asked for their caches, of which the second one has the last part.
+    void answerSurvey()
+    {
+        const auto answer = [&](tests::Listener& listener, const std::string& held) {
+            runUntil(context,
+                [&] { return !listener.peers.empty() && listener.peers.front()->has("GET /kv-list HTTP/1.1"); });
+            const auto body = R"({"epoch":1,"next":2,"held":[)" + held + "]}";
+            listener.peers.front()->send(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        };
+        answer(firstRunner, "");
+        answer(secondRunner, R"(["","2b",50,"m"])");
+    }
+};
+
+}
+
+// Guards against streams that no daemon knows, since the one that is asked cannot derive what the teller could.
+TEST_CASE("the origin of a stream is told to other daemons also while one version serves")
+{
+    SettledFixture fixture;
+    fixture.beginStream();
+    CHECK(fixture.others.published.size() == 1);
+    CHECK(fixture.others.copies == OriginCopies::Few);
+}
+
+// Guards against streams that go on at the version that a daemon takes for the only one.
+TEST_CASE("what other daemons tell of a stream goes before what a daemon derives from the versions that serve")
+{
+    SettledFixture fixture;
+    fixture.continueForeign();
+    fixture.others.questions.front().second(fixture.software("v0"));
+    fixture.awaitAnswer("HTTP/1.1 503");
+    fixture.others.questions.clear();
+    fixture.continueForeign();
+    fixture.others.questions.front().second(std::nullopt);
+    fixture.awaitRequest(1);
+}
+
+// Guards against streams of a route with several services that are sought at the runners of one of them.
+TEST_CASE("the caches of all services of a route tell which software began a stream")
+{
+    for (int i = 0; i < 5; ++i) {
+        SplitFixture fixture;
+        fixture.continueForeign("X-Prompt-Prefix: 1a:100,2b:50\r\n");
+        fixture.others.questions.front().second(std::nullopt);
+        fixture.answerSurvey();
+        CHECK(fixture.awaitRequest(1).has("X-Expect-Instance: r-2"));
+    }
+}
+
+// Guards against streams that another service goes on with once their route has moved.
+TEST_CASE("the caches of a service that a route has left tell that a stream cannot go on")
+{
+    SplitFixture fixture;
+    fixture.configure({ "pool" });
+    fixture.continueForeign("X-Prompt-Prefix: 1a:100,2b:50\r\n");
+    fixture.others.questions.front().second(std::nullopt);
+    fixture.answerSurvey();
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.requestCount() == 0);
+}
+
+// Guards against streams that are lost with most of the daemons after a release.
+TEST_CASE("streams have more copies once several versions serve, those that run included")
+{
+    SettledFixture fixture;
+    fixture.beginStream();
+    fixture.list("v1", "v2");
+    CHECK(fixture.others.published.size() == 2);
+    CHECK(fixture.others.copies == OriginCopies::Many);
+    fixture.list("v2", "v2");
+    CHECK(fixture.others.published.size() == 2);
+}
+
+TEST_CASE("streams have more copies once a daemon cannot prove any more that one version serves")
+{
+    SettledFixture fixture;
+    fixture.beginStream();
+    fixture.clockOffset += seconds(6);
+    fixture.router.sweep(daemon::currentTime() + fixture.clockOffset);
+    CHECK(fixture.others.published.size() == 2);
+    CHECK(fixture.others.copies == OriginCopies::Many);
+}
