--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -77,8 +77,9 @@
               [this](std::vector<dispatch::CrashRecord> records) { m_traffic.mergeCrashRecords(std::move(records)); },
               [this](
                   std::vector<fleet::RunnerStatement> statements) { m_traffic.mergeStatements(std::move(statements)); },
+              [this](std::vector<runners::SoleVersion> versions) { m_traffic.mergeSoleVersions(std::move(versions)); },
               [this](
-                  std::vector<runners::SoleVersion> versions) { m_traffic.mergeSoleVersions(std::move(versions)); } })
+                  std::vector<runners::Departure> departures) { m_traffic.mergeDepartures(std::move(departures)); } })
     , m_directory(m_context, traffic.context(), m_fleet)
     , m_lastTick(currentTime())
 {
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -102,6 +102,7 @@
     send(m_gossip.takeDue(localState(), now));
     m_directory.setMembers(m_gossip.liveIps(now));
     m_directory.setSoleVersions(m_report.soleVersions);
+    m_directory.setDepartures(m_report.departures);
     send(m_directory.tick(now));
     if (shouldAskReaders(now)) {
         if (const auto outgoing = m_readerElection.nextRequest(now, m_gossip.aggregation().isOwnAggregator()))
@@ -207,9 +208,11 @@
     } else if (const auto* question = std::get_if<fleet::StreamQuestion>(&message)) {
         send(m_directory.receive(from, *question, now));
     } else if (const auto* answer = std::get_if<fleet::StreamAnswer>(&message)) {
-        // Before the answer is passed on: a sole version may tell what the answer does not.
+        // Before the answer is passed on: what else it holds may decide where a stream began.
         if (!answer->soleVersions.empty())
             m_events.soleVersionsReceived(answer->soleVersions);
+        if (!answer->departures.empty())
+            m_events.departuresReceived(answer->departures);
         send(m_directory.receive(from, *answer, now));
     }
 }
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -26,6 +26,8 @@
         std::function<void(std::vector<fleet::RunnerStatement>)> statementsReceived;
         /// Another daemon sent which versions it knows to have served alone.
         std::function<void(std::vector<runners::SoleVersion>)> soleVersionsReceived;
+        /// Another daemon sent which runners it knows to have left.
+        std::function<void(std::vector<runners::Departure>)> departuresReceived;
     };
 
     /// @param random returns uniform numbers in [0, 1)
--- a/src/edge/TrafficLoop.cpp
+++ b/src/edge/TrafficLoop.cpp
@@ -187,6 +187,11 @@
     asio::post(m_context, [this, versions = std::move(versions)] { m_router.mergeSoleVersions(versions); });
 }
 
+void TrafficLoop::mergeDepartures(std::vector<runners::Departure> departures)
+{
+    asio::post(m_context, [this, departures = std::move(departures)] { m_router.mergeDepartures(departures); });
+}
+
 void TrafficLoop::setFleet(std::vector<std::string> otherIps)
 {
     asio::post(m_context, [this, otherIps = std::move(otherIps)] {
--- a/src/edge/TrafficLoop.h
+++ b/src/edge/TrafficLoop.h
@@ -38,6 +38,7 @@
     void mergeStatements(std::vector<fleet::RunnerStatement> statements);
     /// @brief Merges which versions other daemons know to have served alone.
     void mergeSoleVersions(std::vector<runners::SoleVersion> versions);
+    void mergeDepartures(std::vector<runners::Departure> departures);
     /// @brief Sets where origins of streams are shared; must be called before run().
     void setOriginDirectory(proxy::OriginDirectory* directory) { m_router.setOriginDirectory(directory); }
     asio::io_context& context() { return m_context; }
--- a/src/fleet/Digest.cpp
+++ b/src/fleet/Digest.cpp
@@ -274,7 +274,10 @@
         auto versions = json::array();
         for (const auto& version : answer.soleVersions)
             versions.push_back({ version.service, version.software, toMillisecondCount(version.age) });
-        return { answer.nonce, answer.software ? json(*answer.software) : json(), versions };
+        auto departures = json::array();
+        for (const auto& departure : answer.departures)
+            departures.push_back({ departure.service, departure.software, toMillisecondCount(departure.age) });
+        return { answer.nonce, answer.software ? json(*answer.software) : json(), versions, departures };
     }
 
     StreamOriginList toOriginList(const json& fields)
@@ -294,6 +297,11 @@
         for (const auto& version : fields.at(2))
             answer.soleVersions.push_back(
                 { version.at(0).get<std::uint64_t>(), version.at(1).get<std::uint64_t>(), toAge(version.at(2)) });
+        if (fields.size() > 3) {
+            for (const auto& departure : fields.at(3))
+                answer.departures.push_back({ departure.at(0).get<std::uint64_t>(),
+                    departure.at(1).get<std::uint64_t>(), toAge(departure.at(2)) });
+        }
         return answer;
     }
 
--- a/src/fleet/Digest.h
+++ b/src/fleet/Digest.h
@@ -3,6 +3,7 @@
 #include "admission/Demand.h"
 #include "dispatch/CrashRegistry.h"
 #include "dispatch/StreamOrigins.h"
+#include "runners/Departures.h"
 #include "runners/SoleVersion.h"
 #include <cstdint>
 #include <optional>
@@ -162,7 +163,8 @@
     std::vector<dispatch::StreamOrigin> origins;
 };
 
-/// @brief Asks a daemon which software began a stream, and which versions it knows to have served alone.
+/// @brief Asks a daemon which software began a stream, and which versions it knows to have served alone, or to
+/// have left.
 struct StreamQuestion {
     /// Matches the answer to its question.
     std::uint64_t nonce = 0;
@@ -176,6 +178,7 @@
     /// Software that began the stream; empty if the sender does not know it.
     std::optional<std::uint64_t> software;
     std::vector<runners::SoleVersion> soleVersions;
+    std::vector<runners::Departure> departures;
 };
 
 using Message
--- a/src/fleet/StreamDirectory.cpp
+++ b/src/fleet/StreamDirectory.cpp
@@ -139,6 +139,7 @@
     answer.nonce = question.nonce;
     answer.software = m_kept.find(question.stream, now);
     answer.soleVersions = m_soleVersions;
+    answer.departures = m_departures;
     return { { from, encode(answer) } };
 }
 
--- a/src/fleet/StreamDirectory.h
+++ b/src/fleet/StreamDirectory.h
@@ -55,6 +55,8 @@
     void setMembers(std::vector<std::string> ips) { m_members = std::move(ips); }
     /// @brief Sets the versions of which this daemon knows for how long they alone served.
     void setSoleVersions(std::vector<runners::SoleVersion> versions) { m_soleVersions = std::move(versions); }
+    /// @brief Sets the versions of which this daemon knows that runners left.
+    void setDepartures(std::vector<runners::Departure> departures) { m_departures = std::move(departures); }
     /// @brief Gives origins to the daemons that keep them.
     std::vector<Outgoing> publish(
         std::span<const dispatch::StreamOrigin> origins, dispatch::OriginCopies copies, TimePoint now);
@@ -97,6 +99,7 @@
     Options m_options;
     std::vector<std::string> m_members;
     std::vector<runners::SoleVersion> m_soleVersions;
+    std::vector<runners::Departure> m_departures;
     /// Origins that this daemon keeps for the fleet.
     dispatch::StreamOrigins m_kept;
     /// By nonce.
--- a/src/proxy/CacheQueries.cpp
+++ b/src/proxy/CacheQueries.cpp
@@ -1,8 +1,8 @@
 #include "proxy/CacheQueries.h"
 
+#include "common/Hash.h"
 #include "proxy/Status.h"
 #include "telemetry/DecisionLog.h"
-#include <algorithm>
 
 namespace eelgrassford::proxy {
 
@@ -30,6 +30,7 @@
     , m_versions(versions)
     , m_pools(std::move(pools))
     , m_clock(std::move(clock))
+    , m_departures(versions.window())
     , m_timer(context)
 {
 }
@@ -46,12 +47,28 @@
     advance(services);
 }
 
-void CacheQueries::onRunnerRemoved(const runners::Runner& runner)
+void CacheQueries::onRunnerRemoved(const runners::Runner& runner) { m_departures.record(runner, m_clock()); }
+
+void CacheQueries::onRunnersChanged()
 {
-    m_departed.push_back({ runner.entry.service, runner.identity, runner.software, m_clock() });
+    m_departures.recordListing(m_clock());
+    checkAll();
 }
 
-void CacheQueries::onRunnersChanged() { checkAll(); }
+void CacheQueries::adoptDepartures(std::span<const runners::Departure> departures)
+{
+    m_departures.adopt(departures, m_clock());
+}
+
+std::vector<runners::Departure> CacheQueries::departures()
+{
+    if (m_departures.isEmpty())
+        return {};
+    runners::Departures::Listed listed;
+    for (const auto& [id, runner] : m_registry.runners())
+        listed.emplace(runner->identity, runner->software);
+    return m_departures.summary(listed, m_clock());
+}
 
 void CacheQueries::checkAll()
 {
@@ -64,8 +81,9 @@
 void CacheQueries::updateCandidates(const Services& services, CacheSurvey& survey, TimePoint now)
 {
     std::vector<CacheSurvey::Candidate> candidates;
-    std::set<std::pair<std::uint64_t, std::uint64_t>> listed;
+    std::set<std::uint64_t> departed;
     for (const auto& service : services) {
+        runners::Departures::Listed listed;
         for (const auto* runner : m_registry.runnersOf(service)) {
             if (runner->evacuatedSince && now - *runner->evacuatedSince > m_versions.window())
                 continue;
@@ -75,15 +93,7 @@
             candidates.push_back({ runner->entry.id, runner->identity, runner->software,
                 m_registry.isSoftwareCertain(*runner, now), isAskable });
         }
-    }
-    while (!m_departed.empty() && now - m_departed.front().leftAt > m_versions.window())
-        m_departed.pop_front();
-    std::set<std::uint64_t> departed;
-    for (const auto& runner : m_departed) {
-        // One whose entry lapsed while the platform's store was away is listed again in the same lifetime.
-        if (std::ranges::find(services, runner.service) != services.end()
-            && !listed.contains({ runner.identity, runner.software }))
-            departed.insert(runner.software);
+        departed.merge(m_departures.softwareOf(hash64(service), listed, now));
     }
     survey.setCandidates(std::move(candidates), std::move(departed));
 }
--- a/src/proxy/CacheQueries.h
+++ b/src/proxy/CacheQueries.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "proxy/CacheSurvey.h"
+#include "runners/Departures.h"
 #include "runners/Registry.h"
 #include "runners/VersionHistory.h"
 #include "upstream/ConnectionPool.h"
 #include <asio.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -39,6 +39,10 @@
     void onRunnerRemoved(const runners::Runner& runner);
     /// @brief Takes into account that the listing of the runners has changed.
     void onRunnersChanged();
+    /// @brief Takes from another daemon which runners left before this one started.
+    void adoptDepartures(std::span<const runners::Departure> departures);
+    /// @brief The runners that left lately, to be told to other daemons.
+    std::vector<runners::Departure> departures();
 
 private:
     /// The survey of some services and the queries that were sent for it.
@@ -50,14 +54,6 @@
         std::size_t concluded = 0;
     };
 
-    /// A runner that left the listing.
-    struct Departed {
-        std::string service;
-        std::uint64_t identity = 0;
-        std::uint64_t software = runners::unknownSoftware;
-        TimePoint leftAt {};
-    };
-
     void advance(const Services& services);
     void updateCandidates(const Services& services, CacheSurvey& survey, TimePoint now);
     void query(const Services& services, const std::string& runner);
@@ -72,8 +68,7 @@
     Pools m_pools;
     Clock m_clock;
     std::map<Services, Scope> m_scopes;
-    /// In the order in which they left.
-    std::deque<Departed> m_departed;
+    runners::Departures m_departures;
     asio::steady_timer m_timer;
     bool m_isTimerArmed = false;
     /// Queries and timers may end after this object.
--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -214,10 +214,10 @@
     return result;
 }
 
-RunnerReport Router::runnerReport(TimePoint now) const
+RunnerReport Router::runnerReport(TimePoint now)
 {
     return { runnerStates(now), m_crashes.records(now), recentStatements(now), m_versionHistory.soleVersions(now),
-        m_overload.demand(now) };
+        m_cacheQueries.departures(), m_overload.demand(now) };
 }
 
 void Router::setFleet(std::string_view ownIp, std::span<const std::string> otherIps)
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -95,7 +95,7 @@
     /// @param confirmedAt time at which the configuration in force was current; ignored if older than an earlier proof
     void confirmConfiguration(TimePoint confirmedAt);
     /// @brief What this daemon tells the others about the runners.
-    RunnerReport runnerReport(TimePoint now) const;
+    RunnerReport runnerReport(TimePoint now);
     /// @brief Requests that crashed runners, to be sent to the other daemons.
     std::vector<dispatch::CrashRecord> crashRecords(TimePoint now) const { return m_crashes.records(now); }
     /// @brief Replaces what the other daemons report on the load and health of the runners.
@@ -111,6 +111,8 @@
     void setOriginDirectory(OriginDirectory* directory) { m_directory = directory; }
     /// @brief Merges which versions other daemons know to have served alone.
     void mergeSoleVersions(std::span<const runners::SoleVersion> versions);
+    /// @brief Merges which runners left before this daemon started, as other daemons know.
+    void mergeDepartures(std::span<const runners::Departure> departures);
     /// @brief Sets the daemons among which the limits of runners are shared, by their addresses.
     void setFleet(std::string_view ownIp, std::span<const std::string> otherIps);
     /// @brief Begins a graceful stop: refuses new requests that may not end in time.
--- a/src/proxy/RouterStreams.cpp
+++ b/src/proxy/RouterStreams.cpp
@@ -10,6 +10,11 @@
         m_versionHistory.adopt(version, m_clock());
 }
 
+void Router::mergeDepartures(std::span<const runners::Departure> departures)
+{
+    m_cacheQueries.adoptDepartures(departures);
+}
+
 void Router::beginStop(TimePoint cutAt)
 {
     m_stop.emplace(now(), cutAt);
--- a/src/proxy/RunnerReport.h
+++ b/src/proxy/RunnerReport.h
@@ -3,6 +3,7 @@
 #include "admission/Demand.h"
 #include "dispatch/CrashRegistry.h"
 #include "fleet/Digest.h"
+#include "runners/Departures.h"
 #include <vector>
 
 namespace eelgrassford::proxy {
@@ -17,6 +18,8 @@
     std::vector<fleet::RunnerStatement> statements;
     /// Versions that alone serve a service, with the time for which that is known.
     std::vector<runners::SoleVersion> soleVersions;
+    /// Versions whose runners left lately.
+    std::vector<runners::Departure> departures;
     /// Work that the callers of this daemon request from services that admit by work.
     std::vector<admission::ServiceDemand> demands;
 };
--- a/tests/proxy/OriginEvidenceTest.cpp
+++ b/tests/proxy/OriginEvidenceTest.cpp
@@ -139,3 +139,23 @@
     CHECK(fixture.others.published.size() == 2);
     CHECK(fixture.others.copies == OriginCopies::Many);
 }
+
+// Guards against streams of two versions after a version left and the daemons that knew it were started again.
+TEST_CASE("a daemon takes from others which versions left before it started")
+{
+    tests::FleetFixture fixture("v1");
+    fixture.router.mergeDepartures(
+        std::vector<runners::Departure> { { hash64("pool"), fixture.software("v0"), seconds(5) } });
+    fixture.continueForeign("X-Prompt-Prefix: 1a:100,2b:50\r\n");
+    fixture.others.questions.front().second(std::nullopt);
+    const auto isAsked = [](const tests::Listener& listener) {
+        return !listener.peers.empty() && listener.peers.front()->has("GET /kv-list HTTP/1.1");
+    };
+    runUntil(fixture.context, [&] { return isAsked(fixture.firstRunner); });
+    const std::string body = R"({"epoch":1,"next":2,"held":[["","2b",50,"m"]]})";
+    fixture.firstRunner.peers.front()->send(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.requestCount() == 0);
+    CHECK(fixture.router.runnerReport(daemon::currentTime()).departures.size() == 1);
+}
