--- a/src/dispatch/StreamOrigins.h
+++ b/src/dispatch/StreamOrigins.h
@@ -27,7 +27,7 @@
 
 /// @brief At how many daemons the origin of a stream is kept.
 enum class OriginCopies {
-    /// For streams whose origin can also be derived from the versions that serve: any few daemons may be lost.
+    /// For streams whose origin the only version of their service tells as well: a few daemons may be lost.
     Few,
     /// For streams whose origin nothing else may tell: most daemons may be lost.
     Many,
--- a/src/proxy/OriginPolicy.cpp
+++ b/src/proxy/OriginPolicy.cpp
@@ -18,7 +18,7 @@
 void OriginPolicy::recordRoutes(const routing::RouteTable& before, const routing::RouteTable& after, TimePoint now)
 {
     for (const auto& route : after.configuration().routes) {
-        const auto* previous = before.findRoute(route.host, route.pathPrefix);
+        const auto* previous = before.findRoute(routing::hostName(route.host), route.pathPrefix);
         if (!previous)
             continue;
         for (const auto& destination : previous->destinations) {
@@ -52,22 +52,19 @@
     return services.size() == 1 ? m_versions.soleVersion(services.front(), now) : std::nullopt;
 }
 
-dispatch::OriginCopies OriginPolicy::copiesFor(std::string_view service, TimePoint now) const
+dispatch::OriginCopies OriginPolicy::copiesFor(std::uint64_t software, TimePoint now) const
 {
-    // While one version serves, the caches tell of its streams as well: no runner of another one may have begun them.
-    return m_versions.soleVersion(service, now) ? dispatch::OriginCopies::Few : dispatch::OriginCopies::Many;
+    // Of a single version the caches tell as well: no runner of another one may have begun its streams.
+    return m_versions.singleVersions(now).contains(software) ? dispatch::OriginCopies::Few
+                                                             : dispatch::OriginCopies::Many;
 }
 
-std::vector<std::uint64_t> OriginPolicy::takeUnderivable(TimePoint now)
+std::vector<std::uint64_t> OriginPolicy::takeContested(TimePoint now)
 {
-    std::set<std::uint64_t> derivable;
-    for (const auto& version : m_versions.soleVersions(now)) {
-        if (version.age >= m_versions.window())
-            derivable.insert(version.software);
-    }
+    auto single = m_versions.singleVersions(now);
     std::vector<std::uint64_t> result;
-    std::ranges::set_difference(m_derivable, derivable, std::back_inserter(result));
-    m_derivable = std::move(derivable);
+    std::ranges::set_difference(m_single, single, std::back_inserter(result));
+    m_single = std::move(single);
     return result;
 }
 
--- a/src/proxy/OriginPolicy.h
+++ b/src/proxy/OriginPolicy.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace eelgrassford::proxy {
@@ -19,16 +18,15 @@
 /// most others, while configurations, releases and restarts change what each daemon knows. The evidence, in the order
 /// in which it is used:
 ///
-/// | evidence | who knows it | lost with | holds |
-/// |---|---|---|---|
-/// | record | the daemon that sent the first event, and those that it told | these daemons |
-/// StreamOrigins::Options::lifetime from the last record on | | sole version | each daemon that read the listing for
-/// the window, or was told by one that did | nothing but the proof of the listing | while one version alone has served
-/// the only service of the route for the window | | caches | the runners that read the prompt | the cached prompt, and
-/// departed runners of other versions | while all runners of other versions can be asked |
+/// - Records, at the daemon that sent the first event and at those that it told, for the lifetime of
+///   StreamOrigins::Options. They are lost with these daemons.
+/// - A sole version, at each daemon that read the listing for the window or was told by one that did, while this
+///   version alone has served the only service of the route for the window and the listing is proven to be current.
+/// - The caches of the runners, while the prompt is kept, all runners of other versions can be asked, and none has
+///   left within the window.
 ///
 /// Every stream is recorded, since what a daemon can derive may have changed when it is asked. Only the number of
-/// records depends on what can be derived.
+/// records depends on what else may tell.
 class OriginPolicy {
 public:
     /// @param versions must outlive the object
@@ -46,10 +44,11 @@
     /// @brief The software that began every stream of a route; empty if there may be several.
     std::optional<std::uint64_t> deriveSoftware(const routing::Route& route, TimePoint now) const;
 
-    /// @brief At how many daemons the origin of a stream is kept that a runner of a service begins now.
-    dispatch::OriginCopies copiesFor(std::string_view service, TimePoint now) const;
-    /// @brief Software whose streams had few copies, and need many from now on, since the call before.
-    std::vector<std::uint64_t> takeUnderivable(TimePoint now);
+    /// @brief At how many daemons the origin of a stream is kept that a software begins now.
+    dispatch::OriginCopies copiesFor(std::uint64_t software, TimePoint now) const;
+    /// @brief Software whose streams had few copies, and need many since another version of its service was listed, or
+    /// was replaced, after the call before.
+    std::vector<std::uint64_t> takeContested(TimePoint now);
 
 private:
     /// Former destinations with the time at which a route left them.
@@ -58,7 +57,7 @@
     const runners::VersionHistory& m_versions;
     /// By host and path prefix.
     std::map<std::pair<std::string, std::string>, FormerServices> m_formerServices;
-    std::set<std::uint64_t> m_derivable;
+    std::set<std::uint64_t> m_single;
 };
 
 }
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -201,8 +201,8 @@
     std::optional<Refusal> refuseIfOverloaded(const RequestMetadata& metadata, const Admission& admission,
         const std::string& service, dispatch::RequestDigest digest, TimePoint now);
     /// Records which software sends a stream, and tells the other daemons if it may be continued.
-    void recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route,
-        std::string_view service, TimePoint now);
+    /// @param origins at least one, all of the same software
+    void recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route, TimePoint now);
     /// Gives the origins of all streams to the other daemons.
     void publishOrigins(TimePoint now);
     /// Gives the origins of streams to more daemons, once the versions that serve do not tell them any more.
--- a/src/proxy/RouterStreams.cpp
+++ b/src/proxy/RouterStreams.cpp
@@ -21,13 +21,13 @@
     publishOrigins(now());
 }
 
-void Router::recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route,
-    std::string_view service, TimePoint now)
+void Router::recordOrigins(std::span<const dispatch::StreamOrigin> origins, const routing::Route& route, TimePoint now)
 {
     for (const auto& origin : origins)
         m_streamOrigins.record(origin, now);
     if (m_directory && route.isResumable)
-        m_directory->publish({ origins.begin(), origins.end() }, m_originPolicy.copiesFor(service, now));
+        m_directory->publish(
+            { origins.begin(), origins.end() }, m_originPolicy.copiesFor(origins.front().software, now));
 }
 
 void Router::publishOrigins(TimePoint now)
@@ -38,7 +38,7 @@
 
 void Router::spreadOrigins(TimePoint now)
 {
-    for (const auto software : m_originPolicy.takeUnderivable(now)) {
+    for (const auto software : m_originPolicy.takeContested(now)) {
         const auto origins = m_streamOrigins.of(software, now);
         telemetry::logInfo("origins-spread",
             { { "software", toHex(software) }, { "streams", static_cast<std::uint64_t>(origins.size()) } });
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -81,7 +81,7 @@
     std::vector<dispatch::StreamOrigin> origins { { streamOf(m_admitted.metadata.attemptId), *m_software } };
     if (!m_admitted.metadata.continuedAttempt.empty())
         origins.push_back({ streamOf(m_admitted.metadata.continuedAttempt), *m_software });
-    m_router.recordOrigins(origins, *m_admitted.route, m_admitted.service, now);
+    m_router.recordOrigins(origins, *m_admitted.route, now);
 }
 
 WorkRequest Session::workRequest() const
--- a/src/runners/VersionHistory.cpp
+++ b/src/runners/VersionHistory.cpp
@@ -56,6 +56,27 @@
     return sole && sole->age >= m_options.window ? std::optional(sole->software) : std::nullopt;
 }
 
+std::set<std::uint64_t> VersionHistory::singleVersions(TimePoint now) const
+{
+    std::set<std::uint64_t> result;
+    for (const auto& [key, service] : m_services) {
+        const auto versions = recentVersions(service, now);
+        if (versions.size() == 1 && *versions.begin() != unknownSoftware)
+            result.insert(*versions.begin());
+    }
+    return result;
+}
+
+std::set<std::uint64_t> VersionHistory::recentVersions(const Service& service, TimePoint now) const
+{
+    auto versions = service.listed;
+    for (const auto& [version, listedUntil] : service.gone) {
+        if (now - listedUntil <= m_options.window)
+            versions.insert(version);
+    }
+    return versions;
+}
+
 std::vector<SoleVersion> VersionHistory::soleVersions(TimePoint now) const
 {
     std::vector<SoleVersion> result;
@@ -70,11 +91,7 @@
 {
     if (!m_provenAt || now - *m_provenAt > m_options.maxProofGap)
         return std::nullopt;
-    auto versions = service.listed;
-    for (const auto& [version, listedUntil] : service.gone) {
-        if (now - listedUntil <= m_options.window)
-            versions.insert(version);
-    }
+    const auto versions = recentVersions(service, now);
     if (versions.size() != 1 || *versions.begin() == unknownSoftware)
         return std::nullopt;
     return SoleVersion { key, *versions.begin(), now - service.knownSince };
--- a/src/runners/VersionHistory.h
+++ b/src/runners/VersionHistory.h
@@ -47,6 +47,9 @@
     std::optional<std::uint64_t> soleVersion(std::string_view service, TimePoint now) const;
     /// @brief Time for which callers may continue a stream after it began.
     Duration window() const { return m_options.window; }
+    /// @brief The software of services that are not known to have had several versions within the window, however long
+    /// they are known and whether the listing is current or not.
+    std::set<std::uint64_t> singleVersions(TimePoint now) const;
     /// @brief The services that one version alone serves as far as this daemon knows, however short that is.
     std::vector<SoleVersion> soleVersions(TimePoint now) const;
 
@@ -59,6 +62,8 @@
         TimePoint knownSince {};
     };
 
+    /// Versions that are listed, or were within the window.
+    std::set<std::uint64_t> recentVersions(const Service& service, TimePoint now) const;
     std::optional<SoleVersion> soleVersion(std::uint64_t key, const Service& service, TimePoint now) const;
 
     VersionHistoryOptions m_options;
