--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -21,7 +21,12 @@
         continueAt(software, "own");
         return;
     }
-    if (attempt.empty() || !m_router.m_directory) {
+    // Without its name a stream is continued only if all of its route began at one version.
+    if (attempt.empty()) {
+        continueAt(m_router.m_originPolicy.deriveSoftware(*m_admitted.route, now), "sole-version");
+        return;
+    }
+    if (!m_router.m_directory) {
         continueUntold();
         return;
     }
--- a/tests/proxy/OriginEvidenceTest.cpp
+++ b/tests/proxy/OriginEvidenceTest.cpp
@@ -106,6 +106,17 @@
     }
 }
 
+// Guards against surveys of all runners for each of many callers that do not name their streams.
+TEST_CASE("a stream that its caller does not name is sought neither at other daemons nor in the caches")
+{
+    tests::FleetFixture fixture;
+    fixture.continueStream("Last-Event-Id: 2\r\nX-Prompt-Prefix: 1a:100,2b:50\r\n");
+    CHECK(fixture.caller->has("HTTP/1.1 503"));
+    CHECK(fixture.others.questions.empty());
+    CHECK(fixture.firstRunner.peers.empty());
+    CHECK(fixture.secondRunner.peers.empty());
+}
+
 // Guards against streams that another service goes on with once their route has moved.
 TEST_CASE("the caches of a service that a route has left tell that a stream cannot go on")
 {
