--- a/src/runners/Departures.cpp
+++ b/src/runners/Departures.cpp
@@ -64,6 +64,7 @@
         leftAt = std::max(leftAt, departed.leftAt);
     }
     std::vector<Departure> result;
+    result.reserve(latest.size());
     for (const auto& [version, leftAt] : latest)
         result.push_back({ version.first, version.second, now - leftAt });
     return result;
