--- a/src/runners/Departures.h
+++ b/src/runners/Departures.h
@@ -3,7 +3,6 @@
 #include "common/Time.h"
 #include "runners/Runner.h"
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <set>
 #include <span>
