--- a/tests/edge/FleetLinkTest.cpp
+++ b/tests/edge/FleetLinkTest.cpp
@@ -46,7 +46,7 @@
     Daemon(asio::io_context& context, const std::string& ip, std::uint16_t port, std::uint64_t incarnation)
         : client(context)
         , link(context, settingsOf(ip, port), incarnation, mirror, client, [] { return 0.5; },
-              { [] {}, [](auto) {}, [](auto) {}, [](auto) {} })
+              { [] {}, [](auto) {}, [](auto) {}, [](auto) {}, [](auto) {} })
     {
         mirror.merge({ 0, 10, { { "key", "old", 10 } }, {}, true }, currentTime());
     }
--- a/tests/edge/SilentConnectionTest.cpp
+++ b/tests/edge/SilentConnectionTest.cpp
@@ -111,7 +111,7 @@
     store::Mirror mirror(protocol, {}, [] { return 0.5; });
     upstream::CurlClient client(context);
     edge::FleetLink link(context, settingsOf(ownIp, port), 1, mirror, client, [] { return 0.5; },
-        { [] {}, [](auto) {}, [](auto) {}, [](auto) {} });
+        { [] {}, [](auto) {}, [](auto) {}, [](auto) {}, [](auto) {} });
     mirror.merge({ 0, 10, { { "key", "old", 10 } }, {}, true }, currentTime());
     std::vector<std::unique_ptr<OtherDaemon>> others;
     for (const char* ip : { "127.0.0.4", "127.0.0.5", "127.0.0.6", "127.0.0.7", "127.0.0.8" })
