--- a/src/proxy/Router.cpp
+++ b/src/proxy/Router.cpp
@@ -259,15 +259,6 @@
     return fromSeconds(toSeconds(mean) * (0.5 + unitDraw()));
 }
 
-upstream::ConnectionPool& Router::poolOf(const runners::Runner& runner)
-{
-    auto& pool = m_pools[runner.entry.id];
-    if (!pool)
-        pool = std::make_unique<upstream::ConnectionPool>(
-            m_context, runner.entry.ip, runner.entry.port, m_clock, m_options.connections);
-    return *pool;
-}
-
 dispatch::WindowedRetryBudget& Router::budgetOf(const std::string& service, TimePoint now)
 {
     return m_budgets.try_emplace(service, m_options.retryBudget, std::min(now, m_startedAt)).first->second;
@@ -301,6 +292,7 @@
 void Router::confirmConfiguration(TimePoint confirmedAt)
 {
     m_versionHistory.recordProof(confirmedAt);
+    m_listingProofs.record(confirmedAt);
     if (!m_confirmedAt || confirmedAt > *m_confirmedAt)
         m_confirmedAt = confirmedAt;
 }
@@ -314,6 +306,7 @@
 {
     m_crashes.tick(now);
     spreadOrigins(now);
+    m_listingProofs.expire(now);
     m_overload.sweep(now);
     m_placement.sweep(now);
     logPath(now);
--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -7,6 +7,7 @@
 #include "gateway/Http.h"
 #include "proxy/CacheQueries.h"
 #include "proxy/Codec.h"
+#include "proxy/ListingProofs.h"
 #include "proxy/OriginDirectory.h"
 #include "proxy/OriginPolicy.h"
 #include "proxy/OverloadControl.h"
@@ -257,6 +258,8 @@
     dispatch::CrashRegistry m_crashes;
     runners::VersionHistory m_versionHistory;
     OriginPolicy m_originPolicy;
+    /// Decisions on where streams began that wait for the listing to be proven.
+    ListingProofs m_listingProofs;
     /// Streams that this daemon relayed, with the software that began them.
     dispatch::StreamOrigins m_streamOrigins;
     OriginDirectory* m_directory = nullptr;
--- a/src/proxy/RouterPath.cpp
+++ b/src/proxy/RouterPath.cpp
@@ -75,6 +75,15 @@
     return candidates[draw() % candidates.size()];
 }
 
+upstream::ConnectionPool& Router::poolOf(const runners::Runner& runner)
+{
+    auto& pool = m_pools[runner.entry.id];
+    if (!pool)
+        pool = std::make_unique<upstream::ConnectionPool>(
+            m_context, runner.entry.ip, runner.entry.port, m_clock, m_options.connections);
+    return *pool;
+}
+
 upstream::ConnectionPool& Router::poolOfDaemon(const std::string& ip)
 {
     auto& pool = m_daemonPools[ip];
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -98,9 +98,16 @@
     void continueStream();
     /// The same if no daemon knows the stream.
     void continueUntold();
+    /// The same once the listing of the runners is proven to be current.
+    void continueDerived();
+    /// The software that began every stream of the route; empty if there may be several.
+    std::optional<std::uint64_t> deriveSoftware() const;
+    /// Whether the caches of the runners may tell where the stream began. Without its name a stream is continued only
+    /// if all of its route began at one version.
+    bool hasNamedPrompt() const;
     /// Sends the request to a runner of the software that began its stream.
     /// @param software empty if it is not known
-    /// @param evidence how it is known, for the log
+    /// @param evidence how it is known, or why not, for the log
     void continueAt(std::optional<std::uint64_t> software, std::string_view evidence);
     /// Records which software sends the events that the caller gets.
     void recordOrigin(TimePoint now);
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -21,12 +21,7 @@
         continueAt(software, "own");
         return;
     }
-    // Without its name a stream is continued only if all of its route began at one version.
-    if (attempt.empty()) {
-        continueAt(m_router.m_originPolicy.deriveSoftware(*m_admitted.route, now), "sole-version");
-        return;
-    }
-    if (!m_router.m_directory) {
+    if (attempt.empty() || !m_router.m_directory) {
         continueUntold();
         return;
     }
@@ -44,27 +39,54 @@
 
 void Session::continueUntold()
 {
-    const auto& policy = m_router.m_originPolicy;
-    const auto& prompt = m_admitted.metadata.prompt;
-    const auto now = m_router.now();
-    const auto sole = policy.deriveSoftware(*m_admitted.route, now);
-    if (sole || prompt.empty()) {
-        continueAt(sole, "sole-version");
+    if (!deriveSoftware() && !hasNamedPrompt()) {
+        continueAt(std::nullopt, "none");
+        return;
+    }
+    // A runner that began the stream may have been listed since this daemon read the listing.
+    m_router.m_listingProofs.await(m_router.now(), [self = shared_from_this()](bool isProven) {
+        if (self->m_isFinished)
+            return;
+        if (isProven)
+            self->continueDerived();
+        else
+            self->continueAt(std::nullopt, "unproven");
+        if (!self->m_isFinished)
+            self->armTimer();
+    });
+}
+
+void Session::continueDerived()
+{
+    const auto software = deriveSoftware();
+    if (software || !hasNamedPrompt()) {
+        continueAt(software, software ? "sole-version" : "none");
         return;
     }
-    m_router.m_cacheQueries.find(policy.servicesOf(*m_admitted.route, now), prompt.back(),
+    const auto services = m_router.m_originPolicy.servicesOf(*m_admitted.route, m_router.now());
+    m_router.m_cacheQueries.find(services, m_admitted.metadata.prompt.back(),
         [self = shared_from_this()](std::optional<std::uint64_t> software) {
             if (self->m_isFinished)
                 return;
-            self->continueAt(software, "cache");
+            self->continueAt(software, software ? "cache" : "none");
             if (!self->m_isFinished)
                 self->armTimer();
         });
 }
 
+std::optional<std::uint64_t> Session::deriveSoftware() const
+{
+    return m_router.m_originPolicy.deriveSoftware(*m_admitted.route, m_router.now());
+}
+
+bool Session::hasNamedPrompt() const
+{
+    return !m_admitted.metadata.continuedAttempt.empty() && !m_admitted.metadata.prompt.empty();
+}
+
 void Session::continueAt(std::optional<std::uint64_t> software, std::string_view evidence)
 {
-    m_originEvidence = software ? evidence : "none";
+    m_originEvidence = evidence;
     if (!software) {
         execute(RelayStep::RefuseNotRun, "it is not known which software began the stream");
         return;
--- a/tests/proxy/OriginEvidenceTest.cpp
+++ b/tests/proxy/OriginEvidenceTest.cpp
@@ -18,7 +18,7 @@
     {
         for (int i = 0; i <= 60; ++i) {
             clockOffset += seconds(1);
-            router.confirmConfiguration(daemon::currentTime() + clockOffset);
+            proveListingOnce();
         }
         router.sweep(daemon::currentTime() + clockOffset);
     }
@@ -94,6 +94,42 @@
     fixture.awaitRequest(1);
 }
 
+// Guards against streams of two versions at a daemon that is cut off from the store while runners are added.
+TEST_CASE("a daemon derives where a stream began only from a listing that was current when the caller returned")
+{
+    for (const bool isVersionAdded : { false, true }) {
+        CAPTURE(isVersionAdded);
+        SettledFixture fixture;
+        fixture.isListingProven = false;
+        fixture.continueForeign();
+        fixture.others.questions.front().second(std::nullopt);
+        fixture.context.run_for(std::chrono::milliseconds(50));
+        CHECK(fixture.requestCount() == 0);
+        if (isVersionAdded)
+            fixture.list("v1", "v2");
+        fixture.proveListingOnce();
+        if (isVersionAdded)
+            fixture.awaitAnswer("HTTP/1.1 503");
+        else
+            fixture.awaitRequest(1);
+    }
+}
+
+// Guards against callers that wait at a daemon that stays cut off.
+TEST_CASE("a stream whose origin cannot be derived in time is refused as not run")
+{
+    SettledFixture fixture;
+    fixture.isListingProven = false;
+    fixture.caller = fixture.connect("POST", "/stream/1", "again", "Last-Event-Id: 2\r\n");
+    fixture.context.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(fixture.caller->has("HTTP/1.1 "));
+    fixture.clockOffset += seconds(3);
+    fixture.router.sweep(daemon::currentTime() + fixture.clockOffset);
+    fixture.awaitAnswer("HTTP/1.1 503");
+    CHECK(fixture.caller->has("Retry-After"));
+    CHECK(fixture.requestCount() == 0);
+}
+
 // Guards against streams of a route with several services that are sought at the runners of one of them.
 TEST_CASE("the caches of all services of a route tell which software began a stream")
 {
@@ -145,6 +181,7 @@
 TEST_CASE("streams have few copies while a daemon cannot prove that one version serves")
 {
     SettledFixture fixture;
+    fixture.isListingProven = false;
     fixture.clockOffset += seconds(6);
     fixture.router.sweep(daemon::currentTime() + fixture.clockOffset);
     fixture.beginStream();
--- a/tests/proxy/VersionsFixture.h
+++ b/tests/proxy/VersionsFixture.h
@@ -6,9 +6,13 @@
 
 /// Runners of two software versions in one service.
 struct VersionsFixture : RouterFixture {
+    /// Whether the listing of the runners is proven to be current all the time.
+    bool isListingProven = true;
+
     explicit VersionsFixture(const std::string& secondVersion = "v2")
         : RouterFixture(options(), secondVersion)
     {
+        proveListing();
     }
 
     /// Begins a stream that breaks off after its second event. Returns the id of the runner that began it.
@@ -30,6 +34,22 @@
         caller = connect("POST", "/stream/1", "again", headers);
         runUntil(context, [&] { return requestCount() > before || caller->has("HTTP/1.1 "); });
     }
+
+    void proveListingOnce() { router.confirmConfiguration(daemon::currentTime() + clockOffset); }
+
+private:
+    void proveListing()
+    {
+        if (isListingProven)
+            proveListingOnce();
+        m_proofTimer.expires_after(std::chrono::milliseconds(5));
+        m_proofTimer.async_wait([this](const asio::error_code& cancelled) {
+            if (!cancelled)
+                proveListing();
+        });
+    }
+
+    asio::steady_timer m_proofTimer { context };
 };
 
 /// Other daemons that answer when the test lets them.
