--- a/src/proxy/Router.h
+++ b/src/proxy/Router.h
@@ -233,6 +233,8 @@
     /// A random duration from 50 % to 150 % of @a mean.
     Duration withJitter(Duration mean);
     upstream::ConnectionPool& poolOf(const runners::Runner& runner);
+    /// Finds out whether a runner that closed its idle connections has ended.
+    void onIdleConnectionsClosed(const std::string& id);
     /// Uniform random bits.
     std::uint64_t draw() { return m_random(); }
     /// Uniform random number in [0, 1).
--- a/src/proxy/RouterPath.cpp
+++ b/src/proxy/RouterPath.cpp
@@ -79,11 +79,32 @@
 {
     auto& pool = m_pools[runner.entry.id];
     if (!pool)
-        pool = std::make_unique<upstream::ConnectionPool>(
-            m_context, runner.entry.ip, runner.entry.port, m_clock, m_options.connections);
+        pool = std::make_unique<upstream::ConnectionPool>(m_context, runner.entry.ip, runner.entry.port, m_clock,
+            m_options.connections, [this, id = runner.entry.id] { onIdleConnectionsClosed(id); });
     return *pool;
 }
 
+void Router::onIdleConnectionsClosed(const std::string& id)
+{
+    auto* runner = m_registry.find(id);
+    if (!runner)
+        return;
+    m_registry.recordDisconnection(*runner, now());
+    poolOf(*runner).probe([this, id, begunAt = now()](ProbeResult result) {
+        auto* probed = m_registry.find(id);
+        if (!probed)
+            return;
+        const bool isDead = isUnreachable(result, begunAt);
+        telemetry::logInfo("idle-connections-closed",
+            { { "runner", id }, { "version", probed->entry.version }, { "reachable", result == ProbeResult::Accepted },
+                { "dead", isDead } });
+        if (result == ProbeResult::Accepted)
+            m_registry.recordReconnection(*probed);
+        else if (isDead)
+            m_registry.recordObservation(*probed, runners::Observation::CannotConnect, now());
+    });
+}
+
 upstream::ConnectionPool& Router::poolOfDaemon(const std::string& ip)
 {
     auto& pool = m_daemonPools[ip];
--- a/src/proxy/Session.h
+++ b/src/proxy/Session.h
@@ -111,6 +111,8 @@
     void continueAt(std::optional<std::uint64_t> software, std::string_view evidence);
     /// Records which software sends the events that the caller gets.
     void recordOrigin(TimePoint now);
+    /// Software that answers the current attempt; unknownSoftware if its runner may have restarted.
+    std::uint64_t softwareOfAttempt(TimePoint now) const;
     /// What the cost of the request depends on.
     WorkRequest workRequest() const;
     /// Places the request and sends it to the chosen runner.
--- a/src/proxy/SessionStream.cpp
+++ b/src/proxy/SessionStream.cpp
@@ -100,10 +100,14 @@
 
 void Session::recordOrigin(TimePoint now)
 {
-    if (m_attempt->isPassedOn || std::exchange(m_isOriginRecorded, true))
+    if (m_attempt->isPassedOn || m_isOriginRecorded)
         return;
-    if (!m_software)
-        m_software = m_attempt->software;
+    if (m_software.value_or(runners::unknownSoftware) == runners::unknownSoftware)
+        m_software = softwareOfAttempt(now);
+    // A record without a version would go before what the caches of the runners may tell.
+    if (*m_software == runners::unknownSoftware)
+        return;
+    m_isOriginRecorded = true;
     // The caller may name this request, or go on naming the first one.
     std::vector<dispatch::StreamOrigin> origins { { streamOf(m_admitted.metadata.attemptId), *m_software } };
     if (!m_admitted.metadata.continuedAttempt.empty())
@@ -111,6 +115,18 @@
     m_router.recordOrigins(origins, *m_admitted.route, now);
 }
 
+std::uint64_t Session::softwareOfAttempt(TimePoint now) const
+{
+    const auto* runner = m_router.m_registry.find(m_attempt->runner);
+    if (!runner)
+        return m_attempt->software;
+    // The listing may have changed, or the runner may have restarted, since the request was sent.
+    const bool isConsistent
+        = m_attempt->software == runners::unknownSoftware || m_attempt->software == runner->software;
+    const bool isCertain = isConsistent && m_router.m_registry.isSoftwareCertain(*runner, now);
+    return isCertain ? runner->software : runners::unknownSoftware;
+}
+
 WorkRequest Session::workRequest() const
 {
     return { *m_admitted.route, m_admitted.routes->findService(m_admitted.service), m_admitted.service,
--- a/src/runners/Registry.cpp
+++ b/src/runners/Registry.cpp
@@ -186,8 +186,10 @@
 
 bool Registry::isSoftwareCertain(const Runner& runner, TimePoint now) const
 {
-    return runner.software != unknownSoftware
-        && (!runner.unconnectedAt || now - *runner.unconnectedAt > m_options.restartListingTime);
+    const auto isListed = [&](const std::optional<TimePoint>& mayHaveEndedAt) {
+        return !mayHaveEndedAt || now - *mayHaveEndedAt > m_options.restartListingTime;
+    };
+    return runner.software != unknownSoftware && isListed(runner.unconnectedAt) && isListed(runner.disconnectedAt);
 }
 
 std::span<Runner* const> Registry::runnersOf(std::string_view service) const
--- a/src/runners/Registry.h
+++ b/src/runners/Registry.h
@@ -52,7 +52,7 @@
     double returnShare = 0.25;
     /// Time between the first request after a pause and the next ones, in which the runner may refuse again.
     Duration returnInterval = std::chrono::milliseconds(250);
-    /// Time after a refused connection within which the listing shows that a runner has restarted.
+    /// Time after a refused or closed connection within which the listing shows that a runner has restarted.
     Duration restartListingTime = std::chrono::seconds(3);
     ColdShareOptions coldShare;
     /// Time after the first listing in which a daemon sends nothing to cold runners, until it knows the other daemons.
@@ -109,7 +109,8 @@
     /// @return the runner, or null if none is listed under this id
     Runner* find(std::string_view id);
     /// @brief Whether a runner can be trusted to run the software that its entry states. One that refused connections
-    /// lately has ended, and a process that answers at its address may run other software than is listed yet.
+    /// lately has ended, one that closed its idle connections may have, and a process that answers at its address may
+    /// run other software than is listed yet.
     bool isSoftwareCertain(const Runner& runner, TimePoint now) const;
     /// @brief All runners of a service, including leaving and suspended ones.
     std::span<Runner* const> runnersOf(std::string_view service) const;
@@ -143,6 +144,10 @@
     /// @brief Records an observation without ending a request, for example from a probe.
     /// @return whether this suspended the runner
     bool recordObservation(Runner& runner, Observation observation, TimePoint now);
+    /// @brief Records that idle connections to a runner were closed, as if its process had ended.
+    void recordDisconnection(Runner& runner, TimePoint now) { runner.disconnectedAt = now; }
+    /// @brief Records that a runner whose idle connections were closed accepts new ones, as if it had gone on.
+    void recordReconnection(Runner& runner) { runner.disconnectedAt.reset(); }
     /// @brief Records the load that a runner reported in a response.
     void recordReportedLoad(Runner& runner, const ReportedLoad& load, TimePoint now);
     /// @brief Records whether a response of a runner states a limit of its request rate. A response without one ends
--- a/src/runners/Runner.h
+++ b/src/runners/Runner.h
@@ -118,6 +118,8 @@
     Duration nextSuspension {};
     /// Last time at which no connection to it could be established.
     std::optional<TimePoint> unconnectedAt;
+    /// Time at which its idle connections were closed, until a probe shows that it goes on.
+    std::optional<TimePoint> disconnectedAt;
     /// Set by a suspension and cleared when the runner serves a request; meanwhile it gets one request at a time.
     bool isOnProbation = false;
     /// Last time at which a byte arrived from it, or at which it got a request while it had none in flight.
--- a/src/upstream/ConnectionPool.cpp
+++ b/src/upstream/ConnectionPool.cpp
@@ -115,7 +115,11 @@
         char byte = 0;
         asio::error_code error;
         m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-        return error == asio::error::would_block;
+        if (error == asio::error::would_block)
+            return true;
+        if (error)
+            recordIdleLoss();
+        return false;
     }
 
     bool isExpired(TimePoint now) const { return m_isClosed || now - m_idleSince > m_idleTimeout; }
@@ -135,6 +139,12 @@
     std::uint64_t exchange() const { return m_isBusy ? m_exchangeNumber : 0; }
 
 private:
+    void recordIdleLoss()
+    {
+        if (*m_pool)
+            (*m_pool)->onIdleLoss();
+    }
+
     void setOptions()
     {
         asio::error_code ignored;
@@ -213,6 +223,8 @@
         }
         if (!m_isBusy) {
             // The peer closed the idle connection, or sent bytes that belong to no request.
+            if (error)
+                recordIdleLoss();
             close();
             return;
         }
@@ -333,11 +345,12 @@
 };
 
 ConnectionPool::ConnectionPool(asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock,
-    const ConnectionPoolOptions& options)
+    const ConnectionPoolOptions& options, IdleLossHandler idleLost)
     : m_context(context)
     , m_endpoint(endpointOf(ip, port))
     , m_clock(std::move(clock))
     , m_options(options)
+    , m_idleLost(std::move(idleLost))
     , m_self(std::make_shared<ConnectionPool*>(this))
 {
 }
@@ -431,4 +444,16 @@
     m_idle.clear();
 }
 
+void ConnectionPool::onIdleLoss()
+{
+    if (!m_idleLost || std::exchange(m_isLossPosted, true))
+        return;
+    asio::post(m_context, [self = m_self] {
+        if (!*self)
+            return;
+        (*self)->m_isLossPosted = false;
+        (*self)->m_idleLost();
+    });
+}
+
 }
--- a/src/upstream/ConnectionPool.h
+++ b/src/upstream/ConnectionPool.h
@@ -83,6 +83,8 @@
 public:
     class Connection;
     using Clock = std::function<TimePoint()>;
+    /// Called when the upstream, or the network, has closed idle connections. Never called from within start().
+    using IdleLossHandler = std::function<void()>;
     /// Identifies an exchange for cancel(), even after its connection is reused for another exchange.
     struct Handle {
         std::weak_ptr<Connection> connection;
@@ -91,7 +93,7 @@
 
     /// @param ip if it is no IP address, each exchange ends as NotSent
     ConnectionPool(asio::io_context& context, const std::string& ip, std::uint16_t port, Clock clock,
-        const ConnectionPoolOptions& options);
+        const ConnectionPoolOptions& options, IdleLossHandler idleLost = {});
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool&) = delete;
     ConnectionPool& operator=(const ConnectionPool&) = delete;
@@ -127,11 +129,15 @@
 
 private:
     std::shared_ptr<Connection> takeIdle();
+    void onIdleLoss();
 
     asio::io_context& m_context;
     asio::ip::tcp::endpoint m_endpoint;
     Clock m_clock;
     ConnectionPoolOptions m_options;
+    IdleLossHandler m_idleLost;
+    /// The handler is about to be called.
+    bool m_isLossPosted = false;
     std::vector<std::shared_ptr<Connection>> m_idle;
     std::uint64_t m_openedCount = 0;
     /// Shared with the connections and null once the pool is destroyed, since connections may outlive the pool.
--- a/tests/proxy/StreamVersionTest.cpp
+++ b/tests/proxy/StreamVersionTest.cpp
@@ -64,6 +64,45 @@
     CHECK(fixture.caller->has("HTTP/1.1 503"));
 }
 
+// Guards against streams of two versions after a runner restarted, while it was idle, with software that is not listed
+// yet.
+TEST_CASE("the software of a runner is in doubt after it closed its idle connections and refused a probe")
+{
+    for (const bool isRestarted : { false, true }) {
+        CAPTURE(isRestarted);
+        FleetFixture fixture("v1");
+        auto& context = fixture.context;
+        const auto port = fixture.firstRunner.port();
+        fixture.router.setRunners(std::vector { Fixture::runnerEntry("r-1", port) });
+        fixture.call("POST", "/stream/1");
+        auto& runner = fixture.awaitRequest(1);
+        runner.send(streamHead("s-1") + chunk(event(1)) + "0\r\n\r\n");
+        fixture.awaitAnswer("0\r\n\r\n");
+        if (isRestarted)
+            fixture.firstRunner.stop();
+        runner.close();
+        context.run_for(std::chrono::milliseconds(50));
+        std::optional<tests::Listener> restarted;
+        if (isRestarted)
+            restarted.emplace(context, port);
+        auto& listener = isRestarted ? *restarted : fixture.firstRunner;
+        fixture.others.published.clear();
+        fixture.call("POST", "/stream/1");
+        const auto hasRequest = [](const auto& peer) { return !peer->isEnded && peer->has("POST"); };
+        runUntil(context, [&] { return std::ranges::any_of(listener.peers, hasRequest); });
+        auto& peer = **std::ranges::find_if(listener.peers, hasRequest);
+        peer.send(streamHead("s-2") + chunk(event(1)));
+        fixture.awaitAnswer("e1\n\n");
+        CHECK(fixture.others.published.size() == (isRestarted ? 0 : 1));
+        // Its entry would have changed by now.
+        fixture.clockOffset += std::chrono::seconds(4);
+        peer.send(chunk(event(2)));
+        fixture.awaitAnswer("e2\n\n");
+        REQUIRE(fixture.others.published.size() == 1);
+        CHECK(fixture.others.published.front().software == fixture.software("v1"));
+    }
+}
+
 TEST_CASE("other daemons are told which software began a stream with its first event, and again by a stopping daemon")
 {
     FleetFixture fixture;
--- a/tests/support/Loopback.h
+++ b/tests/support/Loopback.h
@@ -94,8 +94,8 @@
 /// Accepts connections and keeps them as peers for a test.
 class Listener {
 public:
-    explicit Listener(asio::io_context& context)
-        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+    explicit Listener(asio::io_context& context, std::uint16_t port = 0)
+        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), port })
     {
         accept();
     }
--- a/tests/upstream/ConnectionPoolTest.cpp
+++ b/tests/upstream/ConnectionPoolTest.cpp
@@ -24,7 +24,8 @@
 struct Fixture {
     asio::io_context context;
     tests::Listener listener { context };
-    ConnectionPool pool { context, "127.0.0.1", listener.port(), daemon::currentTime, {} };
+    int idleLosses = 0;
+    ConnectionPool pool { context, "127.0.0.1", listener.port(), daemon::currentTime, {}, [this] { ++idleLosses; } };
 
     std::shared_ptr<Outcome> start(const std::string& id, const std::string& bytes = request)
     {
@@ -235,3 +236,21 @@
     CHECK(fixture.pool.idleCount() == 0);
     runUntil(fixture.context, [&] { return runner.isEnded; });
 }
+
+// Guards against a restart of a runner that no connection attempt meets.
+TEST_CASE("idle connections that the peer closes are reported, unless the response announced that")
+{
+    for (const bool isAnnounced : { false, true }) {
+        CAPTURE(isAnnounced);
+        Fixture fixture;
+        const auto outcome = fixture.start("1");
+        fixture.awaitRequests(0, 1);
+        fixture.peer(0).send(isAnnounced ? "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                                         : response("1", ""));
+        CHECK(fixture.endOf(outcome) == ExchangeEnd::Complete);
+        CHECK(fixture.idleLosses == 0);
+        fixture.peer(0).close();
+        fixture.context.run_for(std::chrono::milliseconds(20));
+        CHECK(fixture.idleLosses == (isAnnounced ? 0 : 1));
+    }
+}
