--- a/src/edge/ControlLoop.cpp
+++ b/src/edge/ControlLoop.cpp
@@ -123,6 +123,8 @@
         m_otherIps = others;
         m_traffic.setFleet(std::move(others));
     }
+    if (compareConfiguration(now))
+        publish();
     updateFreshness(now);
     if (const auto next = m_mirror.nextQuery(now))
         query(*next);
@@ -167,6 +169,7 @@
     logEra(era);
     if (hasChanged) {
         m_fleet.announce(now);
+        compareConfiguration(now);
         publish();
     }
     updateFreshness(now);
@@ -202,15 +205,47 @@
 void ControlLoop::publish()
 {
     for (const auto& [key, item] : m_mirror.items()) {
-        if (m_documents.isConfigurationKey(key) && item.revision > m_configurationItemRevision)
+        if (m_documents.isConfigurationKey(key) && item.value != m_configurationDocument && m_isConfigurationCompared)
             publishConfiguration(item);
     }
     publishRunners();
 }
 
+bool ControlLoop::compareConfiguration(TimePoint now)
+{
+    if (m_isConfigurationCompared)
+        return false;
+    m_comparison.begin(now);
+    const auto others = m_fleet.knownIps(now);
+    while (const auto other = m_comparison.next(others, m_random()))
+        fetchConfiguration(*other);
+    if (!m_comparison.isOver(others, now) || !m_mirror.items().contains(std::string(m_documents.configurationKey())))
+        return false;
+    m_isConfigurationCompared = true;
+    const auto later = std::ranges::count_if(
+        m_otherConfigurations, [&](const auto& configuration) { return m_mirror.takeLaterState(configuration); });
+    telemetry::logInfo("configuration-compared",
+        { { "answers", static_cast<std::uint64_t>(m_comparison.answers()) },
+            { "later", static_cast<std::uint64_t>(later) } });
+    m_otherConfigurations.clear();
+    return true;
+}
+
+void ControlLoop::fetchConfiguration(const std::string& ip)
+{
+    m_fleet.fetchItem(
+        ip, std::string(m_documents.configurationKey()), [this](const std::optional<std::vector<store::Item>>& items) {
+            m_comparison.recordResult(items.has_value());
+            if (items)
+                m_otherConfigurations.insert(m_otherConfigurations.end(), items->begin(), items->end());
+            if (compareConfiguration(currentTime()))
+                publish();
+        });
+}
+
 void ControlLoop::publishConfiguration(const store::Item& item)
 {
-    m_configurationItemRevision = item.revision;
+    m_configurationDocument = item.value;
     auto configuration = m_documents.decodeConfiguration(item.value);
     if (!configuration) {
         telemetry::logError("configuration-unreadable",
--- a/src/edge/ControlLoop.h
+++ b/src/edge/ControlLoop.h
@@ -6,6 +6,7 @@
 #include "edge/FleetLink.h"
 #include "edge/RelaySettings.h"
 #include "edge/TrafficLoop.h"
+#include "fleet/StartupComparison.h"
 #include "gateway/AdminServer.h"
 #include "store/Mirror.h"
 #include "upstream/CurlClient.h"
@@ -31,6 +32,10 @@
     /// Logs that the store answers from another copy of its data.
     void logEra(std::optional<std::uint64_t> before) const;
     void publish();
+    /// Compares the configuration with those of other daemons before it is first used.
+    /// @return whether it may be used from now on
+    bool compareConfiguration(TimePoint now);
+    void fetchConfiguration(const std::string& ip);
     void publishConfiguration(const store::Item& item);
     void publishRunners();
     void updateFreshness(TimePoint now);
@@ -61,7 +66,12 @@
     FleetLink m_fleet;
     FleetDirectory m_directory;
     std::uint64_t m_configurationRevision = 0;
-    std::uint64_t m_configurationItemRevision = 0;
+    /// Document that was read last, in force or not.
+    std::string m_configurationDocument;
+    fleet::StartupComparison m_comparison;
+    /// Configurations of other daemons that have answered.
+    std::vector<store::Item> m_otherConfigurations;
+    bool m_isConfigurationCompared = false;
     std::vector<runners::RunnerEntry> m_runners;
     /// Data centres that are out of service.
     std::set<std::string> m_evacuated;
--- a/src/edge/DocumentCodec.h
+++ b/src/edge/DocumentCodec.h
@@ -19,7 +19,8 @@
 class DocumentCodec {
 public:
     virtual ~DocumentCodec() = default;
-    virtual bool isConfigurationKey(std::string_view key) const = 0;
+    virtual std::string_view configurationKey() const = 0;
+    bool isConfigurationKey(std::string_view key) const { return key == configurationKey(); }
     virtual bool isRunnerKey(std::string_view key) const = 0;
     /// @brief The data centre that a key takes out of service while the store holds it; empty for other keys.
     virtual std::optional<std::string> evacuatedDataCentre(std::string_view key) const = 0;
--- a/src/edge/FleetLink.cpp
+++ b/src/edge/FleetLink.cpp
@@ -3,6 +3,7 @@
 #include "daemon/SystemClock.h"
 #include "store/DeltaCodec.h"
 #include "telemetry/DecisionLog.h"
+#include <algorithm>
 #include <charconv>
 
 namespace eelgrassford::edge {
@@ -14,6 +15,8 @@
     constexpr std::string_view changesTarget = "/mirror?since=";
     /// Follows the revision in a request for changes that is to be refused rather than answered with a full copy.
     constexpr std::string_view noCopyParameter = "&copy=0";
+    /// Precedes the key of the only item that is asked for. Daemons of earlier releases answer with all items.
+    constexpr std::string_view keyParameter = "&key=";
     constexpr std::uint16_t statusOk = 200;
     /// The changes since a revision are only to be had as a full copy.
     constexpr std::uint16_t statusConflict = 409;
@@ -280,8 +283,7 @@
     const bool mayCopy = since == 0 || m_missedChanges.needsCopy(currentTime());
     ++m_fetchCount;
     upstream::Call call;
-    call.url = "http://" + ip + ":" + std::to_string(m_settings.fleetPort) + std::string(changesTarget)
-        + std::to_string(since) + std::string(mayCopy ? "" : noCopyParameter);
+    call.url = mirrorUrl(ip, since, mayCopy ? "" : noCopyParameter);
     call.timeout = fetchTimeout;
     call.connectTimeout = fetchTimeout;
     call.needsNewConnection = currentTime() < m_newConnectionsUntil;
@@ -306,6 +308,42 @@
     });
 }
 
+std::string FleetLink::mirrorUrl(const std::string& ip, store::Revision since, std::string_view parameters) const
+{
+    return "http://" + ip + ":" + std::to_string(m_settings.fleetPort) + std::string(changesTarget)
+        + std::to_string(since) + std::string(parameters);
+}
+
+void FleetLink::fetchItem(const std::string& ip, const std::string& key, ItemReceiver receiver)
+{
+    upstream::Call call;
+    call.url = mirrorUrl(ip, 0, std::string(keyParameter) + key);
+    call.timeout = fetchTimeout;
+    call.connectTimeout = fetchTimeout;
+    m_client.fetch(call,
+        [key, receiver = std::move(receiver)](
+            const upstream::CallResult& result, std::uint16_t status, const std::string& body) {
+            const bool isComplete = result.end == upstream::CallEnd::Complete && status == statusOk;
+            auto delta = store::decodeDelta(isComplete ? body : std::string_view {});
+            if (!delta) {
+                receiver(std::nullopt);
+                return;
+            }
+            std::erase_if(delta->items, [&](const auto& item) { return item.key != key; });
+            receiver(std::move(delta->items));
+        });
+}
+
+std::vector<std::string> FleetLink::knownIps(TimePoint now) const
+{
+    auto result = m_gossip.presentIps(now);
+    for (auto& ip : seedIps(m_settings)) {
+        if (ip != m_settings.ip && std::ranges::find(result, ip) == result.end())
+            result.push_back(std::move(ip));
+    }
+    return result;
+}
+
 void FleetLink::takeDelta(const std::string& ip, const store::Delta& delta)
 {
     const auto now = currentTime();
@@ -334,7 +372,10 @@
     if (m_mirror.needsFullCopy(since) && target.ends_with(noCopyParameter))
         return { statusConflict, {}, "" };
     const auto now = currentTime();
-    auto delta = store::encode(m_mirror.changesSince(since, now));
+    const auto key = target.find(keyParameter);
+    auto delta
+        = store::encode(key == std::string_view::npos ? m_mirror.changesSince(since, now)
+                                                      : m_mirror.itemOf(target.substr(key + keyParameter.size())));
     // The requester retries, with this daemon or with another one that has the changes by then.
     if (!m_changesBudget.tryTake(delta.size(), now))
         return { 503, {}, "" };
--- a/src/edge/FleetLink.h
+++ b/src/edge/FleetLink.h
@@ -51,6 +51,13 @@
     /// @brief Adds the seeds of changed settings to the members, and applies their deadline for configurations.
     void applySettings(const RelaySettings& settings, TimePoint now);
 
+    /// Called with the item, if the daemon has it; without a value if the daemon does not answer.
+    using ItemReceiver = std::function<void(std::optional<std::vector<store::Item>> items)>;
+    /// @brief Asks another daemon for its state of an item of the store.
+    void fetchItem(const std::string& ip, const std::string& key, ItemReceiver receiver);
+    /// @brief Addresses of the other daemons that are present, and of the seeds.
+    std::vector<std::string> knownIps(TimePoint now) const;
+
     /// @brief Time of the newest freshness proof, from the store or from another daemon.
     std::optional<TimePoint> provenAt() const;
     const fleet::Gossip& gossip() const { return m_gossip; }
@@ -80,6 +87,8 @@
     void fetch(const std::string& ip, store::Revision since);
     /// Merges the changes that another daemon sent.
     void takeDelta(const std::string& ip, const store::Delta& delta);
+    /// URL at which another daemon serves its mirror.
+    std::string mirrorUrl(const std::string& ip, store::Revision since, std::string_view parameters) const;
     gateway::HttpResponse serve(const gateway::HttpRequest& request);
 
     RelaySettings m_settings;
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -290,6 +290,15 @@
     return true;
 }
 
+bool Mirror::takeLaterState(const Item& item)
+{
+    const auto known = m_items.find(item.key);
+    if (!m_order || known == m_items.end() || !(m_order(item.key, item.value, known->second.value) > 0))
+        return false;
+    known->second.value = item.value;
+    return true;
+}
+
 void Mirror::doubt(const Item& item, TimePoint takenAt)
 {
     auto& doubted = m_doubted[item.key];
@@ -365,6 +374,16 @@
     return delta;
 }
 
+Delta Mirror::itemOf(std::string_view key) const
+{
+    Delta delta;
+    delta.since = m_revision;
+    delta.completeRevision = m_revision;
+    if (const auto item = m_items.find(std::string(key)); item != m_items.end())
+        delta.items.push_back(item->second);
+    return delta;
+}
+
 bool Mirror::merge(const Delta& delta, TimePoint now)
 {
     // Changes between the revision of this mirror and the start of the delta would be missed.
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -134,9 +134,15 @@
     /// @brief Delta for another daemon's mirror that is complete up to a revision; a full copy for revision 0, or if
     /// the removals since then are not all known.
     Delta changesSince(std::uint64_t revision, TimePoint now) const;
+    /// @brief Delta with a single item, if it is known. It changes nothing else in another mirror.
+    Delta itemOf(std::string_view key) const;
     /// @brief Applies a delta of another daemon. Ignores an incremental one that starts after completeRevision().
     /// @return whether any item changed
     bool merge(const Delta& delta, TimePoint now);
+    /// @brief Takes the document that another daemon has of a known item, if it describes a later state: the store may
+    /// have been restored from a copy that has an earlier one.
+    /// @return whether it was taken
+    bool takeLaterState(const Item& item);
     /// @brief Drops items whose grace period is over, and takes doubted ones that have stayed listed.
     /// @return whether any item changed
     bool dropExpired(TimePoint now);
--- a/tests/edge/FleetLinkTest.cpp
+++ b/tests/edge/FleetLinkTest.cpp
@@ -120,3 +120,23 @@
     fleet.runUntil([&] { return !fleet.refused.mirror.items().contains("gone"); });
     CHECK(fleet.refused.mirror.completeRevision() == 12);
 }
+
+TEST_CASE("a daemon gives another one its state of a single item")
+{
+    RefusedReader fleet;
+    fleet.informed.mirror.merge({ 10, 11, { { "second", "s", 11 } }, {}, false }, currentTime());
+    using Items = std::vector<store::Item>;
+    const auto fetch = [&](const std::string& ip, const std::string& key) {
+        std::optional<std::optional<Items>> result;
+        fleet.refused.link.fetchItem(ip, key, [&](std::optional<Items> items) { result = std::move(items); });
+        fleet.runUntil([&] { return result.has_value(); });
+        return *result;
+    };
+    const auto items = fetch("127.0.0.3", "key");
+    REQUIRE(items);
+    REQUIRE(items->size() == 1);
+    CHECK(items->front().key == "key");
+    CHECK(items->front().value == "old");
+    CHECK(fetch("127.0.0.3", "third").value().empty());
+    CHECK_FALSE(fetch("127.0.0.9", "key"));
+}
--- a/tests/store/RestoredStoreTest.cpp
+++ b/tests/store/RestoredStoreTest.cpp
@@ -194,6 +194,24 @@
     CHECK(fixture.valueOf("b") == "2-b");
 }
 
+// Guards against a revoked credential that a daemon admits which started after the store was restored.
+TEST_CASE("a mirror that has only seen the restored copy takes the later document of another one at the same revision")
+{
+    Fixture fixture;
+    fixture.store.restore();
+    fixture.run();
+    auto started = fixture.createMirror();
+    fixture.store.answer(started, fixture.now);
+    REQUIRE(started.items().at("a").value == "1-a");
+    started.merge(fixture.mirror.changesSince(started.completeRevision(), fixture.now), fixture.now);
+    CHECK(started.items().at("a").value == "1-a");
+    for (const auto& item : fixture.mirror.itemOf("a").items)
+        CHECK(started.takeLaterState(item));
+    CHECK(started.items().at("a").value == "2-a");
+    CHECK_FALSE(fixture.mirror.takeLaterState({ "a", "1-a", 9 }));
+    CHECK(fixture.mirror.itemOf("c").items.empty());
+}
+
 TEST_CASE("an item that a restored copy lacks is kept for the time in which its owner writes it again")
 {
     for (const bool isWrittenAgain : { true, false }) {
